Skeleton: composed node, ports, schemas, checks

Cause: there was nothing; every other piece hangs on agreed interfaces. Change: events, actions, parts and the composed node; JSON Schemas with generated TypedDicts; benchmark frame; ruff, wemake, mypy, import contract.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# make demo, make test: the two commands of the README.
+PYTHON ?= python3
+DEPLOYMENT ?= halvorsen
+BIN := .venv/bin
+
+.PHONY: demo test setup lint format generate ci bench clean
+
+setup: .venv/installed
+
+.venv/installed: requirements.txt pyproject.toml
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install -q --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install -q --disable-pip-version-check --no-deps --no-build-isolation -e . || $(BIN)/pip install -q --disable-pip-version-check --no-deps -e .
+	touch .venv/installed
+
+demo: setup
+	$(BIN)/python -m rosemaryweir.cli.main demo --deployment $(DEPLOYMENT)
+
+test: setup
+	$(BIN)/python -m pytest -n 4
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/flake8 .
+	$(BIN)/mypy
+	$(BIN)/lint-imports
+	$(BIN)/python -m tools.generate --check
+
+format: setup
+	$(BIN)/ruff check --fix --select I .
+	$(BIN)/ruff format .
+
+generate: setup
+	$(BIN)/python -m tools.generate
+
+bench: setup
+	$(BIN)/python -m benchmarks all --quick
+
+clean:
+	rm -rf .venv
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: figures against stated bounds, with baselines in the same run."""
--- /dev/null
+++ b/rosemaryweir/__init__.py
@@ -0,0 +1,1 @@
+"""rosemaryweir: a query tier over many shards."""
--- /dev/null
+++ b/rosemaryweir/config/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration: release notes, spread and fence."""
--- /dev/null
+++ b/rosemaryweir/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""The long-running programs."""
--- /dev/null
+++ b/rosemaryweir/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership: heartbeats, views, leases, directory."""
--- /dev/null
+++ b/rosemaryweir/node/__init__.py
@@ -0,0 +1,9 @@
+"""The composed node: events, actions, parts, ports."""
+
+from rosemaryweir.node.action import *
+from rosemaryweir.node.catalogue import *
+from rosemaryweir.node.event import *
+from rosemaryweir.node.node import *
+from rosemaryweir.node.part import *
+from rosemaryweir.node.ports import *
+from rosemaryweir.node.state import *
--- /dev/null
+++ b/rosemaryweir/node/part.py
@@ -0,0 +1,117 @@
+"""Parts: the deciders that a node is composed of, and their registry.
+
+A part declares which events it takes with the decorator `handles`, and joins
+the nodes of a role with the decorator `part_of`::
+
+    @part_of('entry')
+    class Directory(Part):
+        @handles(CallerRequest, 'directory')
+        def answer(self, event, now): ...
+"""
+
+from collections.abc import Callable, Iterable, Mapping
+from random import Random
+from typing import Any, ClassVar, TypeVar
+
+from rosemaryweir.node.action import Action
+from rosemaryweir.node.event import Event
+from rosemaryweir.node.state import NodeState
+
+__all__ = ['Part', 'handles', 'part_of', 'parts_of']
+
+Handler = Callable[[Any, Any, float], Iterable[Action]]
+HandlerKey = tuple[type, str | None]
+PartType = TypeVar('PartType', bound=type['Part'])
+
+_ROLES: dict[str, list[type['Part']]] = {}
+
+
+def handles(
+    event_type: type[Event],
+    topic: str | None = None,
+) -> Callable[[Handler], Handler]:
+    """Mark a method as the handler of a type of event.
+
+    Parameters
+    ----------
+    event_type : type
+        One of the types of `rosemaryweir.node.event`.
+    topic : str, optional
+        Only events with this topic; all of the type when left out.
+    """
+
+    def decorate(function: Handler) -> Handler:
+        keys: list[HandlerKey] = getattr(function, 'handled_events', [])
+        function.handled_events = [  # type: ignore[attr-defined]
+            *keys,
+            (event_type, topic),
+        ]
+        return function
+
+    return decorate
+
+
+class Part:
+    """A decider: takes events and the present time, returns actions.
+
+    Parameters
+    ----------
+    state : NodeState
+        What the parts of one node share.
+    rng : random.Random
+        The only source of chance.
+
+    Notes
+    -----
+    A part does no I/O and reads no clock.  Handlers are given ``(event,
+    now)`` and return or yield actions.
+    """
+
+    handlers: ClassVar[dict[HandlerKey, str]] = {}
+
+    def __init__(self, state: NodeState, rng: Random) -> None:
+        self.state = state
+        self.rng = rng
+
+    def __init_subclass__(cls) -> None:
+        """Collect the handlers of the class."""
+        cls.handlers = dict(cls.handlers)
+        for name, function in cls.__dict__.items():
+            for key in getattr(function, 'handled_events', ()):
+                cls.handlers[key] = name
+
+    def next_wake(self) -> float | None:
+        """Return the time at which `wake` wants to run, or None."""
+        return None
+
+    def wake(self, now: float) -> Iterable[Action]:
+        """Do what is due at `now`."""
+        return ()
+
+    def busy(self, now: float) -> bool:
+        """Return whether a graceful shutdown must still wait for this part."""
+        return False
+
+    def status(self, now: float) -> Mapping[str, Any]:
+        """Return what the status page shows of this part."""
+        return {}
+
+
+def part_of(*roles: str) -> Callable[[PartType], PartType]:
+    """Register a part with the nodes of the roles named.
+
+    Roles are ``entry``, ``leaf`` and ``agent``.  Parts get events in the
+    order of their registration.
+    """
+
+    def decorate(part_type: PartType) -> PartType:
+        for role in roles:
+            _ROLES.setdefault(role, []).append(part_type)
+        return part_type
+
+    return decorate
+
+
+def parts_of(role: str) -> tuple[type[Part], ...]:
+    """Return the types of the parts that make up a role."""
+    return tuple(_ROLES.get(role, ()))
--- /dev/null
+++ b/rosemaryweir/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders: at most once."""
--- /dev/null
+++ b/rosemaryweir/query/__init__.py
@@ -0,0 +1,1 @@
+"""Queries: snapshot, coverage, tail, admission."""
--- /dev/null
+++ b/rosemaryweir/schema/__init__.py
@@ -0,0 +1,1 @@
+"""JSON Schemas and the records generated from them."""
--- /dev/null
+++ b/rosemaryweir/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the platform's store and of targets."""
--- /dev/null
+++ b/rosemaryweir/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Targets: limits, warmth, connections, ownership."""
--- /dev/null
+++ b/rosemaryweir/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Log events, metrics, histograms."""
--- /dev/null
+++ b/rosemaryweir/testing/__init__.py
@@ -0,0 +1,1 @@
+"""A virtual-time driver and fakes of the four ports."""
--- /dev/null
+++ b/rosemaryweir/transport/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP and zmq drivers of the ports."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools; nothing here runs in production."""
