HTTP server and client over h11, stand-in store, platform client

Cause: callers, targets and the platform speak HTTP; nothing did yet. Change: transport (server with limits, decode, callers' port, client channel), platform (store calls, watches), standin (objects with versions, faults on demand), schemas platform.json and target.json.

--- /dev/null
+++ b/rosemaryweir/platform/wire.py
@@ -0,0 +1,105 @@
+"""How the platform's object API writes objects: paths and JSON."""
+
+import base64
+import binascii
+import json
+from collections.abc import Iterable
+from typing import Any, NamedTuple
+from urllib.parse import quote, unquote
+
+from rosemaryweir.node.event import StoreObject
+from rosemaryweir.schema.check import findings
+from rosemaryweir.schema.generated.platform import ObjectList, ObjectState
+
+__all__ = [
+    'OBJECTS_PATH',
+    'VERSION_HEADER',
+    'VMS_PATH',
+    'WATCH_PATH',
+    'Listing',
+    'object_path',
+    'object_state',
+    'objects_json',
+    'parse_objects',
+    'path_key',
+    'watch_path',
+]
+
+OBJECTS_PATH = '/v1/objects'
+WATCH_PATH = '/v1/watch'
+VMS_PATH = '/v1/vms'
+VERSION_HEADER = 'x-version'
+
+
+class Listing(NamedTuple):
+    """Objects and the revision that they reflect."""
+
+    revision: int
+    objects: tuple[StoreObject, ...]
+
+
+def object_path(key: str) -> str:
+    """Return the path of an object.
+
+    Examples
+    --------
+    >>> object_path('views/a b')
+    '/v1/objects/views/a%20b'
+    """
+    return f'{OBJECTS_PATH}/{quote(key)}'
+
+
+def path_key(path: str) -> str:
+    """Return the key that a path names; empty when it names none.
+
+    Examples
+    --------
+    >>> path_key('/v1/objects/views/a%20b')
+    'views/a b'
+    """
+    return unquote(path.removeprefix(OBJECTS_PATH).removeprefix('/'))
+
+
+def watch_path(prefix: str, revision: int) -> str:
+    """Return the path of a watch on a prefix after a revision."""
+    return f'{WATCH_PATH}?prefix={quote(prefix)}&revision={revision}'
+
+
+def object_state(item: StoreObject) -> ObjectState:
+    """Return the record that stands for an object."""
+    return ObjectState(
+        key=item.key,
+        version=item.version,
+        content=base64.b64encode(item.content).decode(),
+    )
+
+
+def objects_json(revision: int, items: Iterable[StoreObject]) -> ObjectList:
+    """Return the record that stands for objects at a revision."""
+    return ObjectList(
+        revision=revision,
+        objects=[object_state(item) for item in items],
+    )
+
+
+def parse_objects(text: bytes) -> Listing:
+    """Read what `objects_json` wrote.
+
+    Raises
+    ------
+    ValueError
+        If the text is anything else.
+    """
+    content = json.loads(text)
+    if findings('platform/ObjectList', content):
+        raise ValueError('not a list of objects')
+    items = tuple(_store_object(state) for state in content['objects'])
+    return Listing(content['revision'], items)
+
+
+def _store_object(state: dict[str, Any]) -> StoreObject:
+    try:
+        content = base64.b64decode(state['content'], validate=True)
+    except binascii.Error as exc:
+        raise ValueError('not base64') from exc
+    return StoreObject(state['key'], state['version'], content)
--- /dev/null
+++ b/rosemaryweir/transport/callers.py
@@ -0,0 +1,74 @@
+"""The callers' side: HTTP requests to events, replies to HTTP answers."""
+
+from collections.abc import Callable
+from itertools import count
+
+from returns.pipeline import is_successful
+
+from rosemaryweir.node.action import ReplyCaller
+from rosemaryweir.node.event import CallerGone, CallerRequest, Event
+from rosemaryweir.node.ports import Clock
+from rosemaryweir.transport.decode import decode
+from rosemaryweir.transport.exchange import Exchange
+from rosemaryweir.transport.http_server import HttpServer
+from rosemaryweir.transport.limits import KIB, HttpLimits
+
+__all__ = ['OPERATOR_LIMITS', 'CallerPort']
+
+#: Release notes are larger than questions.
+OPERATOR_LIMITS = HttpLimits(body_bytes=8 * KIB * KIB, read_seconds=30.0)
+_LIMITS = {'entry_http': HttpLimits(), 'agent_http': OPERATOR_LIMITS}
+
+
+class CallerPort:
+    """Serves HTTP on one address and keeps the requests in flight.
+
+    Parameters
+    ----------
+    server : str
+        Name of the address in the settings: ``entry_http``, ``agent_http``.
+    post : callable
+        Takes each event.
+    clock : Clock
+        Gives the wall-clock time of arrival.
+    """
+
+    def __init__(
+        self,
+        server: str,
+        post: Callable[[Event], None],
+        clock: Clock,
+    ) -> None:
+        self._name = server
+        self._post = post
+        self._clock = clock
+        self._numbers = count(1)
+        self._waiting: dict[int, Exchange] = {}
+        self.http = HttpServer(self._take, _LIMITS[server])
+
+    def __len__(self) -> int:
+        """Return the number of requests in flight."""
+        return len(self._waiting)
+
+    def reply(self, action: ReplyCaller) -> None:
+        """Answer a request, if its caller still waits."""
+        exchange = self._waiting.pop(action.req, None)
+        if exchange is not None:
+            exchange.reply_json(action.status, action.body)
+
+    def _take(self, exchange: Exchange) -> None:
+        outcome = decode(self._name, exchange.request)
+        if not is_successful(outcome):
+            refused = outcome.failure()
+            exchange.reply_json(refused.status, refused.body)
+            return
+        decoded = outcome.unwrap()
+        req = next(self._numbers)
+        self._waiting[req] = exchange
+        exchange.on_gone = lambda: self._gone(req, decoded.topic)
+        wall = self._clock.wall()
+        self._post(CallerRequest(req, decoded.topic, decoded.body, wall))
+
+    def _gone(self, req: int, topic: str) -> None:
+        if self._waiting.pop(req, None) is not None:
+            self._post(CallerGone(req, topic))
