Virtual-time driver and fakes of the four ports

Cause: deciders of entry, leaf and agent have to be driven together without I/O by tests, benchmarks and the fault matrix.

--- a/rosemaryweir/compose.py
+++ b/rosemaryweir/compose.py
@@ -18,8 +18,33 @@
 start work.
 """
 
+import contextlib
+import importlib
+
 from rosemaryweir.node.node import Node
 
 __all__ = ['ROLES', 'Node']
 
 ROLES = ('entry', 'leaf', 'agent')
+
+#: Modules whose parts make up the nodes, in the order in which they get
+#: events.
+PART_MODULES = (
+    'rosemaryweir.membership.agent_client',
+    'rosemaryweir.membership.directory',
+    'rosemaryweir.membership.service',
+    'rosemaryweir.config.service',
+    'rosemaryweir.query.service',
+    'rosemaryweir.orders.service',
+    'rosemaryweir.targets.service',
+)
+
+
+def load_parts() -> None:
+    """Import the modules of the parts, so that they register."""
+    for name in PART_MODULES:
+        with contextlib.suppress(ModuleNotFoundError):
+            importlib.import_module(name)
+
+
+load_parts()
--- /dev/null
+++ b/rosemaryweir/testing/cluster.py
@@ -0,0 +1,617 @@
+"""Run whole VMs in virtual time over the fakes of the four ports.
+
+A `Cluster` composes the nodes of its VMs, carries messages between them with
+delay and loss, and keeps what the fakes saw: callers' answers, targets' runs,
+the store's history.  Each process has its own monotonic clock, off from the
+others by a fixed amount, so that a time sent to another process shows.
+"""
+
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import Any, NamedTuple
+
+from rosemaryweir import compose
+from rosemaryweir.node.action import (
+    Action,
+    CancelAttempt,
+    CloseConnection,
+    Exit,
+    ListPlatform,
+    LogEvent,
+    OpenConnection,
+    ProbeTarget,
+    ReplyCaller,
+    SendPeer,
+    SendTarget,
+    StoreDelete,
+    StoreGet,
+    StoreList,
+    StorePut,
+    StoreUnwatch,
+    StoreWatch,
+)
+from rosemaryweir.node.event import (
+    CallerGone,
+    CallerRequest,
+    ConnectionClosed,
+    ConnectionFailed,
+    ConnectionOpened,
+    Event,
+    PeerMessage,
+    ShutdownAsked,
+    TargetHealth,
+    Wake,
+)
+from rosemaryweir.node.node import Node
+from rosemaryweir.node.part import parts_of
+from rosemaryweir.node.state import Lease, NodeState, NodeUid
+from rosemaryweir.schema.generated.config import Config, Service
+from rosemaryweir.schema.generated.control import Member, View
+from rosemaryweir.schema.generated.settings import Settings
+from rosemaryweir.testing.fake_store import FakeStore
+from rosemaryweir.testing.fake_target import (
+    FakeTarget,
+    ServiceTime,
+    TargetSpec,
+    exponential,
+)
+from rosemaryweir.testing.scheduler import Scheduler
+
+__all__ = ['Ask', 'Cluster', 'Logged', 'Process', 'static_view']
+
+#: One-way delays in seconds.
+SAME_DOMAIN = 0.0002
+OTHER_DOMAIN = 0.001
+CALLER = 0.003
+REFUSED_AFTER = 0.001
+
+#: Wall-clock time of virtual time 0, in seconds since the epoch.
+EPOCH = 1_800_000_000.0
+MS = 1000.0
+
+
+class Ask:
+    """A caller's request and what became of it.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status; 0 while there is none (or the connection was cut).
+    answered : float
+        Virtual time of the answer at the caller; 0 while there is none.
+    cut : bool
+        Whether the process ended with the request open.
+    """
+
+    def __init__(self, vm: str, topic: str, body: Any, asked: float) -> None:
+        self.vm = vm
+        self.topic = topic
+        self.body = body
+        self.asked = asked
+        self.status = 0
+        self.answer: Any = None
+        self.answered = 0.0
+        self.cut = False
+        self.on_answer: Callable[[Ask], None] | None = None
+
+
+class Logged(NamedTuple):
+    """A log event of a process."""
+
+    when: float
+    process: str
+    event: LogEvent
+
+
+class Process:
+    """One process: a node, its clock offset, and whether it runs."""
+
+    def __init__(self, node: Node, settings: Settings, offset: float) -> None:
+        self.node = node
+        self.settings = settings
+        self.offset = offset
+        self.name = node.state.uid.name
+        self.alive = True
+        self.paused = False
+        self.backlog: list[Event] = []
+        self.wake_at: float | None = None
+        self.asks: dict[int, Ask] = {}
+        self.conns: dict[int, str] = {}
+        self.exit_code: int | None = None
+
+
+def static_view(domain: str, settings: Iterable[Settings]) -> View:
+    """Return the view in which every VM of a failure domain is alive."""
+    members = [
+        Member(
+            vm=each['vm'],
+            domain=each['domain'],
+            region=each['region'],
+            incarnation=1,
+            state='alive',
+            load=0.0,
+            **each['addresses'],
+        )
+        for each in settings
+        if each['domain'] == domain
+    ]
+    return View(domain=domain, version=1, members=members)
+
+
+class Cluster:
+    """VMs, targets and a store in virtual time.
+
+    Parameters
+    ----------
+    settings : list of Settings
+        One for each VM.
+    config : Config
+        Tells which targets there are; in force at once when `static`.
+    seed : int
+        Seed of everything.
+    static : bool
+        Without agents: configuration, views and a lease without end are
+        given to every entry and leaf.  For work on those alone.
+    service_time : callable, optional
+        ``rng -> seconds`` for all targets; a median of 10 ms when left out.
+
+    Attributes
+    ----------
+    targets : dict of str to FakeTarget
+        The fakes, with their faults and logs.
+    store : FakeStore
+        The fake store.
+    cuts : set of frozenset of str
+        Pairs of VMs, or of failure domains, that can't reach each other.
+        A VM or failure domain paired with a target's domain cuts that, too.
+    loss : float
+        Share of messages between processes that are lost.
+    asks : list of Ask
+        Every request of a caller.
+    logs : list of Logged
+        Every log event.
+    sent, sent_bytes : dict
+        Messages between processes by sender, if `measure_bytes` is given.
+    """
+
+    def __init__(
+        self,
+        settings: list[Settings],
+        config: Config,
+        seed: int = 1,
+        static: bool = False,
+        service_time: ServiceTime | None = None,
+        size_of: Callable[[Any], int] | None = None,
+    ) -> None:
+        self.scheduler = Scheduler()
+        self.rng = Random(seed)
+        self.static = static
+        self.config = config
+        self.settings = {each['vm']: each for each in settings}
+        self.store = FakeStore(self.scheduler, Random(seed + 1))
+        self.store.live = tuple(self.settings)
+        self.targets: dict[str, FakeTarget] = {}
+        self.service_time = service_time or exponential(0.01)
+        self.cuts: set[frozenset[str]] = set()
+        self.loss = 0.0
+        self.asks: list[Ask] = []
+        self.logs: list[Logged] = []
+        self.sent: dict[str, int] = {}
+        self.sent_bytes: dict[str, int] = {}
+        self.size_of = size_of
+        self.processes: dict[str, Process] = {}
+        self._addresses: dict[str, str] = {}
+        self._reqs = 0
+        self.add_targets(config)
+        for each in settings:
+            self.start_vm(each)
+
+    # Time
+
+    @property
+    def now(self) -> float:
+        """Virtual time, in seconds."""
+        return self.scheduler.now
+
+    def run(self, seconds: float) -> None:
+        """Let so much virtual time pass."""
+        self.scheduler.run(self.scheduler.now + seconds)
+
+    # VMs
+
+    def start_vm(self, settings: Settings) -> None:
+        """Start the processes of a VM."""
+        self.settings[settings['vm']] = settings
+        roles = ('entry', 'leaf') if self.static else compose.ROLES
+        for role in roles:
+            self.start_process(settings, role)
+
+    def start_process(self, settings: Settings, role: str) -> Process:
+        """Start one process, as a new incarnation."""
+        incarnation = int((EPOCH + self.now) * MS) + 1
+        rng = Random(self.rng.getrandbits(32))
+        if self.static:
+            node = self._static_node(settings, role, incarnation, rng)
+        else:
+            node = Node.from_config(settings, role, incarnation, rng)
+        process = Process(node, settings, self.rng.uniform(1, 1000))
+        self.processes[process.name] = process
+        address = settings['addresses'][f'{role}_peer']  # type: ignore[literal-required]
+        self._addresses[address] = process.name
+        self.scheduler.after(0, self._arm, process)
+        return process
+
+    def kill_vm(self, vm: str) -> None:
+        """End the processes of a VM at once."""
+        for role in compose.ROLES:
+            name = f'{vm}/{role}'
+            if name in self.processes:
+                self.kill(name)
+
+    def kill(self, name: str) -> None:
+        """End a process at once: connections close, callers are cut."""
+        process = self.processes[name]
+        process.alive = False
+        for ask in process.asks.values():
+            ask.cut = True
+        process.asks.clear()
+        self.store.forget(name)
+        for conn, target in process.conns.items():
+            known = self.targets.get(target)
+            if known is not None:
+                known.hang_up((name, conn))
+
+    def pause(self, *names: str) -> None:
+        """Freeze processes; what arrives waits."""
+        for name in names:
+            self.processes[name].paused = True
+
+    def resume(self, *names: str) -> None:
+        """Let frozen processes go on."""
+        for name in names:
+            process = self.processes[name]
+            process.paused = False
+            backlog = process.backlog
+            process.backlog = []
+            for event in backlog:
+                self.deliver(process, event)
+            self._wake(process, process.wake_at)
+
+    def shutdown_vm(self, vm: str) -> None:
+        """Ask the processes of a VM to end gracefully."""
+        for role in compose.ROLES:
+            process = self.processes.get(f'{vm}/{role}')
+            if process is not None:
+                self.deliver(process, ShutdownAsked())
+
+    def set_config(self, config: Config) -> None:
+        """Put a configuration in force on every node of a static cluster."""
+        self.config = config
+        self.add_targets(config)
+        for process in self.processes.values():
+            process.node.state.take_config(config)
+
+    def add_targets(self, config: Config) -> None:
+        """Create the fakes of the targets that are new in a configuration."""
+        for service in config['services'].values():
+            spec = self._spec(service)
+            for shard in service['shards'].values():
+                for name in shard['targets']:
+                    if name not in self.targets:
+                        self.targets[name] = self._target(name, spec, service)
+
+    # Callers
+
+    def ask(
+        self,
+        vm: str,
+        topic: str,
+        body: Any,
+        role: str = 'entry',
+        on_answer: Callable[[Ask], None] | None = None,
+    ) -> Ask:
+        """Send a request of a caller to a VM."""
+        ask = Ask(vm, topic, body, self.now)
+        ask.on_answer = on_answer
+        self.asks.append(ask)
+        self._reqs += 1
+        self.scheduler.after(
+            CALLER,
+            self._arrive_ask,
+            f'{vm}/{role}',
+            self._reqs,
+            ask,
+        )
+        return ask
+
+    def hang_up(self, ask: Ask) -> None:
+        """Let the caller of a request hang up."""
+        for process in self.processes.values():
+            for req, known in tuple(process.asks.items()):
+                if known is ask:
+                    process.asks.pop(req)
+                    self.deliver(process, CallerGone(req, ask.topic))
+
+    def deliver(self, process: Process, event: Event) -> None:
+        """Give an event to a process, if it still runs."""
+        if not process.alive:
+            return
+        if process.paused:
+            process.backlog.append(event)
+            return
+        now = self.now + process.offset
+        self._carry_out(process, process.node.handle(event, now))
+        self._arm(process)
+
+    # Inside
+
+    def _static_node(
+        self,
+        settings: Settings,
+        role: str,
+        incarnation: int,
+        rng: Random,
+    ) -> Node:
+        state = NodeState(NodeUid(settings['vm'], role, incarnation), settings)
+        state.config = self.config
+        state.lease = Lease(float('inf'), '')
+        for domain in self.config['domains']:
+            state.take_view(static_view(domain, self.settings.values()))
+        parts = [
+            part(state, rng)
+            for part in parts_of(role)
+            if not part.__module__.startswith('rosemaryweir.membership')
+        ]
+        return Node(state, parts)
+
+    def _spec(self, service: Service) -> TargetSpec:
+        return TargetSpec(
+            service['slots'],
+            service['connections'],
+            service['connect_ms'] / MS,
+            service['cold_slots'],
+            service['warm_after'],
+            self.service_time,
+        )
+
+    def _target(
+        self,
+        name: str,
+        spec: TargetSpec,
+        service: Service,
+    ) -> FakeTarget:
+        rng = Random(self.rng.getrandbits(32))
+        target = FakeTarget(name, spec, self.scheduler, rng)
+        target.layout = service['layout']
+        return target
+
+    def _arrive_ask(self, name: str, req: int, ask: Ask) -> None:
+        process = self.processes.get(name)
+        if process is None or not process.alive:
+            ask.cut = True
+            if ask.on_answer is not None:
+                ask.on_answer(ask)
+            return
+        process.asks[req] = ask
+        wall = EPOCH + self.now
+        event = CallerRequest(req, ask.topic, ask.body, wall)
+        self.deliver(process, event)
+
+    def _arm(self, process: Process) -> None:
+        if not process.alive:
+            return
+        wake = process.node.next_wake()
+        if wake is None:
+            return
+        when = max(wake - process.offset, self.now)
+        if process.wake_at is None or when < process.wake_at:
+            process.wake_at = when
+            self.scheduler.at(when, self._wake, process, when)
+
+    def _wake(self, process: Process, when: float | None) -> None:
+        if process.paused or when is None or process.wake_at != when:
+            return
+        process.wake_at = None
+        self.deliver(process, Wake())
+
+    def _carry_out(self, process: Process, actions: list[Action]) -> None:
+        for action in actions:
+            handler = _HANDLERS.get(type(action))
+            if handler is not None:
+                handler(self, process, action)
+
+    def _reply(self, process: Process, action: ReplyCaller) -> None:
+        ask = process.asks.pop(action.req, None)
+        if ask is not None:
+            self.scheduler.after(CALLER, self._answer, ask, action)
+
+    def _answer(self, ask: Ask, action: ReplyCaller) -> None:
+        ask.status = action.status
+        ask.answer = action.body
+        ask.answered = self.now
+        if ask.on_answer is not None:
+            ask.on_answer(ask)
+
+    def _log(self, process: Process, action: LogEvent) -> None:
+        self.logs.append(Logged(self.now, process.name, action))
+
+    def _exit(self, process: Process, action: Exit) -> None:
+        process.exit_code = action.code
+        self.kill(process.name)
+
+    def _store_call(self, process: Process, action: Any) -> None:
+        self.store.call(
+            process.name,
+            action,
+            lambda event: self.deliver(process, event),
+        )
+
+    def _send_peer(self, process: Process, action: SendPeer) -> None:
+        if self.size_of is not None:
+            size = self.size_of(action.message)
+            name = process.name
+            self.sent[name] = self.sent.get(name, 0) + 1
+            self.sent_bytes[name] = self.sent_bytes.get(name, 0) + size
+        receiver = self.processes.get(self._addresses.get(action.address, ''))
+        if receiver is None or receiver.name != action.to:
+            return
+        local = receiver.settings['vm'] == process.settings['vm']
+        if not local and self._lost(process.settings, receiver.settings):
+            return
+        uid = process.node.state.uid
+        event = PeerMessage(uid.name, uid.incarnation, action.message)
+        delay = self._delay(
+            process.settings['domain'],
+            receiver.settings['domain'],
+        )
+        self.scheduler.after(delay, self.deliver, receiver, event)
+
+    def _lost(self, one: Settings, other: Settings) -> bool:
+        if self.loss and self.rng.random() < self.loss:
+            return True
+        return bool(self.cuts) and any(
+            frozenset(pair) in self.cuts
+            for pair in (
+                (one['vm'], other['vm']),
+                (one['domain'], other['domain']),
+                (one['vm'], other['domain']),
+                (one['domain'], other['vm']),
+            )
+        )
+
+    def _delay(self, one: str, other: str) -> float:
+        base = SAME_DOMAIN if one == other else OTHER_DOMAIN
+        return base * (1 + self.rng.random() * 0.2)
+
+    def _path(self, process: Process, target: str) -> float | None:
+        known = self.config['targets'].get(target)
+        domain = known['domain'] if known else ''
+        mine = process.settings
+        cut = bool(self.cuts) and any(
+            frozenset((name, domain)) in self.cuts
+            for name in (mine['vm'], mine['domain'])
+        )
+        return None if cut else self._delay(mine['domain'], domain)
+
+    def _open(self, process: Process, action: OpenConnection) -> None:
+        process.conns[action.conn] = action.target
+        target = self.targets.get(action.target)
+        path = self._path(process, action.target)
+        left = action.deadline - process.offset - self.now
+        if target is None or path is None:
+            self._fail(process, action, 'timeout', left)
+            return
+        cost = path * 2 + target.spec.connect_time
+        if cost > left:
+            self._fail(process, action, 'timeout', left)
+            return
+        self.scheduler.after(cost, self._opened, process, action, target)
+
+    def _opened(
+        self,
+        process: Process,
+        action: OpenConnection,
+        target: FakeTarget,
+    ) -> None:
+        if action.conn not in process.conns or not process.alive:
+            return
+        reason = target.open(
+            (process.name, action.conn),
+            lambda event: self._from_target(process, event),
+        )
+        if reason:
+            self._fail(process, action, reason, REFUSED_AFTER)
+        else:
+            self.deliver(process, ConnectionOpened(action.conn, action.target))
+
+    def _fail(
+        self,
+        process: Process,
+        action: OpenConnection,
+        reason: str,
+        delay: float,
+    ) -> None:
+        event = ConnectionFailed(action.conn, action.target, reason)
+        self.scheduler.after(max(delay, 0), self._failed, process, event)
+
+    def _failed(self, process: Process, event: ConnectionFailed) -> None:
+        if process.conns.pop(event.conn, None) is not None:
+            self.deliver(process, event)
+
+    def _from_target(self, process: Process, event: Event) -> None:
+        conn = getattr(event, 'conn', None)
+        if conn not in process.conns:
+            return
+        if self._path(process, process.conns[conn]) is None:
+            return
+        if isinstance(event, ConnectionClosed):
+            process.conns.pop(conn)
+        self.deliver(process, event)
+
+    def _close(self, process: Process, action: CloseConnection) -> None:
+        target = self.targets.get(process.conns.pop(action.conn, ''))
+        if target is not None:
+            conn = (process.name, action.conn)
+            self.scheduler.after(OTHER_DOMAIN, target.hang_up, conn)
+
+    def _send_target(self, process: Process, action: SendTarget) -> None:
+        name = process.conns.get(action.conn, '')
+        path = self._path(process, name)
+        if name not in self.targets or path is None:
+            return
+        left = action.deadline - process.offset - self.now
+        self.scheduler.after(
+            path,
+            self.targets[name].receive,
+            (process.name, action.conn),
+            process.name,
+            action,
+            left - path,
+        )
+
+    def _cancel(self, process: Process, action: CancelAttempt) -> None:
+        target = self.targets.get(action.target)
+        path = self._path(process, action.target)
+        if target is not None and path is not None:
+            self.scheduler.after(path, target.cancel, action.attempt)
+
+    def _probe(self, process: Process, action: ProbeTarget) -> None:
+        target = self.targets.get(action.target)
+        path = self._path(process, action.target)
+        if target is None or path is None or not target.up:
+            event = TargetHealth(action.target, 'unreachable', 0.0, 0)
+        else:
+            state = 'draining' if target.draining else 'ready'
+            load = len(target.running) / target.spec.slots
+            event = TargetHealth(
+                action.target,
+                state,
+                load,
+                target.incarnation,
+            )
+        self.scheduler.after(OTHER_DOMAIN * 2, self.deliver, process, event)
+
+
+_HANDLERS: dict[type, Callable[[Cluster, Process, Any], None]] = {
+    ReplyCaller: Cluster._reply,
+    LogEvent: Cluster._log,
+    Exit: Cluster._exit,
+    SendPeer: Cluster._send_peer,
+    OpenConnection: Cluster._open,
+    CloseConnection: Cluster._close,
+    SendTarget: Cluster._send_target,
+    CancelAttempt: Cluster._cancel,
+    ProbeTarget: Cluster._probe,
+    **{
+        kind: Cluster._store_call
+        for kind in (
+            StoreGet,
+            StoreList,
+            StorePut,
+            StoreDelete,
+            StoreWatch,
+            StoreUnwatch,
+            ListPlatform,
+        )
+    },
+}
--- /dev/null
+++ b/rosemaryweir/testing/tests/test_fake_store.py
@@ -0,0 +1,56 @@
+"""The fake store keeps the promises of the platform's store."""
+
+from random import Random
+
+from rosemaryweir.node.action import StoreGet, StorePut, StoreWatch
+from rosemaryweir.node.event import StoreFailed, StoreReply, WatchEvent
+from rosemaryweir.testing.fake_store import FakeStore
+from rosemaryweir.testing.scheduler import Scheduler
+
+
+def make_store():
+    scheduler = Scheduler()
+    return scheduler, FakeStore(scheduler, Random(1)), []
+
+
+def test_conditional_update_lets_one_of_two_win():
+    scheduler, store, seen = make_store()
+    store.call('a/agent', StorePut('x:1', 'k', 0, b'a'), seen.append)
+    store.call('b/agent', StorePut('x:2', 'k', 0, b'b'), seen.append)
+    scheduler.run(1.0)
+    assert sorted(event.status for event in seen) == ['conflict', 'ok']
+
+
+def test_lost_reply_leaves_the_write():
+    scheduler, store, seen = make_store()
+    store.lose_replies = 1.0
+    store.call('a/agent', StorePut('x:1', 'k', 0, b'a'), seen.append)
+    scheduler.run(2.0)
+    assert seen == [StoreFailed('x:1', 'unknown')]
+    assert store.objects['k'].content == b'a'
+
+
+def test_outage_refuses_and_ends():
+    scheduler, store, seen = make_store()
+    store.set_down(True)
+    store.call('a/agent', StoreGet('x:1', 'k'), seen.append)
+    scheduler.run(1.0)
+    store.set_down(False)
+    store.call('a/agent', StoreGet('x:2', 'k'), seen.append)
+    scheduler.run(2.0)
+    assert seen == [
+        StoreFailed('x:1', 'unavailable'),
+        StoreReply('x:2', 'missing', (), 0),
+    ]
+
+
+def test_watch_brings_what_was_missed_and_what_comes():
+    scheduler, store, seen = make_store()
+    store.put('views/a', b'1')
+    store.call('a/agent', StoreWatch('x:1', 'views/', 0), seen.append)
+    scheduler.run(0.1)
+    store.put('views/b', b'2')
+    scheduler.run(0.2)
+    keys = [obj.key for event in seen for obj in event.objects]
+    assert keys == ['views/a', 'views/b']
+    assert all(isinstance(event, WatchEvent) for event in seen)
