--- a/rosemaryweir/node/node.py
+++ b/rosemaryweir/node/node.py
@@ -9,12 +9,19 @@
 from random import Random
 from typing import Any
 
-from rosemaryweir.node.action import Action, Exit, LogEvent, ReplyCaller
+from rosemaryweir.node.action import (
+    Action,
+    Exit,
+    LogEvent,
+    Metric,
+    ReplyCaller,
+)
 from rosemaryweir.node.catalogue import register_event
 from rosemaryweir.node.event import CallerRequest, Event, ShutdownAsked, Wake
 from rosemaryweir.node.part import Part, parts_of
 from rosemaryweir.node.state import NodeState, NodeUid
 from rosemaryweir.schema.generated.settings import Settings
+from rosemaryweir.telemetry.histogram import HistogramSet
 
 __all__ = ['Node']
 
@@ -34,6 +41,7 @@
 HTTP_OK = 200
 HTTP_INTERNAL_ERROR = 500
 STATUS_TOPIC = 'status'
+TIMING = 'time'
 
 BoundHandler = Callable[[Any, float], Iterable[Action]]
 
@@ -62,6 +70,7 @@
     def __init__(self, state: NodeState, parts: Iterable[Part]) -> None:
         self.state = state
         self.parts = tuple(parts)
+        self.histograms = HistogramSet()
         self._exited = False
         self._table: dict[tuple[type, str | None], list[BoundHandler]] = {}
         for part in self.parts:
@@ -94,6 +103,7 @@
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take one event; return the actions that it causes, in order."""
         actions = list(self._dispatch(event, now))
+        self._measure(actions)
         if self.state.leaving and not self._exited and not self.busy(now):
             self._exited = True
             actions.append(Exit())
@@ -115,6 +125,7 @@
             'serving': state.may_start(now) and not state.leaving,
             'leaving': state.leaving,
             'reason': state.lease.reason,
+            'latency_ms': self.histograms.summaries(),
             'parts': {
                 type(part).__name__: dict(part.status(now))
                 for part in self.parts
@@ -155,6 +166,11 @@
             for action in _guard(handler, event, now)
         ]
 
+    def _measure(self, actions: Iterable[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Metric) and action.form == TIMING:
+                self.histograms.record(action.name, action.amount, action.tags)
+
     def _register(self, part: Part) -> None:
         for key, name in part.handlers.items():
             self._table.setdefault(key, []).append(getattr(part, name))
--- a/rosemaryweir/telemetry/__init__.py
+++ b/rosemaryweir/telemetry/__init__.py
@@ -1,1 +1,3 @@
-"""Log events, metrics, histograms."""
+"""Telemetry: log events, metrics, histograms."""
+
+from rosemaryweir.telemetry.histogram import *
--- /dev/null
+++ b/rosemaryweir/telemetry/histogram.py
@@ -0,0 +1,125 @@
+"""Histograms of latency for each tenant and class.
+
+Backed by ``hdrh``: a fixed relative error at every scale, so that the tail
+is as exact as the median.
+"""
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from hdrh.histogram import HdrHistogram
+
+__all__ = ['HistogramSet', 'Percentiles', 'text_plot']
+
+LOWEST_US = 1
+HIGHEST_US = 60_000_000
+SIGNIFICANT_DIGITS = 2
+US_PER_MS = 1000
+PLOT_WIDTH = 40
+PLOT_GROWTH = 2
+
+Labels = tuple[tuple[str, str], ...]
+
+
+class Percentiles(NamedTuple):
+    """Summary of a histogram; times in ms."""
+
+    total: int
+    p50: float
+    p90: float
+    p99: float
+    p999: float
+    worst: float
+
+
+class HistogramSet:
+    """Histograms by name and labels.
+
+    Examples
+    --------
+    >>> histograms = HistogramSet()
+    >>> for took_ms in range(1, 101):
+    ...     histograms.record('query', took_ms, {'tenant': 'a', 'class': 'b'})
+    >>> histograms.summary('query', tenant='a', **{'class': 'b'}).p50 // 1
+    50.0
+    """
+
+    def __init__(self) -> None:
+        self._histograms: dict[tuple[str, Labels], HdrHistogram] = {}
+
+    def record(
+        self,
+        name: str,
+        took_ms: float,
+        labels: Mapping[str, str],
+    ) -> None:
+        """Record one time, in ms."""
+        key = (name, tuple(sorted(labels.items())))
+        histogram = self._histograms.get(key)
+        if histogram is None:
+            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+            self._histograms[key] = histogram
+        took_us = int(took_ms * US_PER_MS)
+        histogram.record_value(min(max(took_us, LOWEST_US), HIGHEST_US))
+
+    def summary(self, name: str, **labels: str) -> Percentiles | None:
+        """Return the summary of one histogram, or None without records."""
+        histogram = self._histograms.get((name, tuple(sorted(labels.items()))))
+        return None if histogram is None else _summary(histogram)
+
+    def summaries(self) -> dict[str, dict[str, float]]:
+        """Return every summary, by name and labels, as JSON values."""
+        return {
+            _title(name, labels): _summary(histogram)._asdict()
+            for (name, labels), histogram in sorted(self._histograms.items())
+        }
+
+    def plot(self, name: str, **labels: str) -> str:
+        """Return a text plot of one histogram."""
+        histogram = self._histograms.get((name, tuple(sorted(labels.items()))))
+        if histogram is None:
+            return 'nothing recorded'
+        return text_plot(
+            (
+                step.value_iterated_to / US_PER_MS,
+                step.count_added_in_this_iter_step,
+            )
+            for step in histogram.get_log_iterator(US_PER_MS, 2)
+        )
+
+
+def text_plot(bars: Iterable[tuple[float, int]]) -> str:
+    """Return a text plot of ``(upper bound in ms, count)`` bars.
+
+    Examples
+    --------
+    >>> print(text_plot([(1.0, 2), (2.0, 4)]))
+        1.0 ms | ####################                     2
+        2.0 ms | ######################################## 4
+    """
+    shown = [(bound, count) for bound, count in bars if count]
+    most = max((count for _, count in shown), default=1)
+    return '\n'.join(
+        f'{bound:7.1f} ms | {"#" * round(PLOT_WIDTH * count / most):40} {count}'
+        for bound, count in shown
+    )
+
+
+def _title(name: str, labels: Labels) -> str:
+    inner = ','.join(f'{key}={label}' for key, label in labels)
+    return f'{name}{{{inner}}}' if inner else name
+
+
+def _summary(histogram: HdrHistogram) -> Percentiles:
+    return Percentiles(
+        histogram.get_total_count(),
+        _at(histogram, 50),
+        _at(histogram, 90),
+        _at(histogram, 99),
+        _at(histogram, 99.9),
+        round(histogram.get_max_value() / US_PER_MS, 1),
+    )
+
+
+def _at(histogram: HdrHistogram, percentile: float) -> float:
+    return round(histogram.get_value_at_percentile(percentile) / US_PER_MS, 1)
