--- a/rosemaryweir/telemetry/histogram.py
+++ b/rosemaryweir/telemetry/histogram.py
@@ -122,4 +122,5 @@
 
 
 def _at(histogram: HdrHistogram, percentile: float) -> float:
-    return round(histogram.get_value_at_percentile(percentile) / US_PER_MS, 1)
+    took_us = float(histogram.get_value_at_percentile(percentile))
+    return round(took_us / US_PER_MS, 1)
