Ownership of targets by rendezvous hashing

Cause: entries and leaves must agree, from a view alone, which leaf holds the connections of a target. Figures: 300 targets over 3 VMs, each at least 60; on the loss of one VM only its targets move (tests in targets/tests/test_ownership.py). Conclusion: pure and deterministic; others can code against it.

--- a/rosemaryweir/targets/__init__.py
+++ b/rosemaryweir/targets/__init__.py
@@ -1,1 +1,3 @@
 """Targets: limits, warmth, connections, ownership."""
+
+from rosemaryweir.targets.ownership import *
--- /dev/null
+++ b/rosemaryweir/targets/tests/test_ownership.py
@@ -0,0 +1,39 @@
+"""Tests of the placement of targets."""
+
+from collections import Counter
+
+from rosemaryweir.targets.ownership import Owners, owner
+
+VMS = ('vm1', 'vm2', 'vm3')
+TARGETS = [f't{number}' for number in range(300)]
+
+
+def _view(version=1, **states):
+    members = [{'vm': vm, 'state': states.get(vm, 'alive')} for vm in VMS]
+    return {'domain': 'd', 'version': version, 'members': members}
+
+
+def test_spread():
+    shares = Counter(owner(target, _view()) for target in TARGETS)
+    assert set(shares) == set(VMS)
+    assert min(shares.values()) > 60
+
+
+def test_only_the_targets_of_a_lost_member_move():
+    before = {target: owner(target, _view()) for target in TARGETS}
+    after = {target: owner(target, _view(vm2='dead')) for target in TARGETS}
+    moved = {target for target in TARGETS if before[target] != after[target]}
+    assert moved == {t for t, vm in before.items() if vm == 'vm2'}
+
+
+def test_only_alive_members_own():
+    view = _view(vm1='leaving', vm2='suspect', vm3='dead')
+    assert owner('t1', view) is None
+
+
+def test_owners_follow_the_view():
+    owners = Owners()
+    for version, state in enumerate(('alive', 'dead', 'alive'), 1):
+        view = _view(version, vm2=state)
+        found = [owners.of(target, view) for target in TARGETS]
+        assert found == [owner(target, view) for target in TARGETS]
