--- /dev/null
+++ b/rosemaryweir/membership/directory.py
@@ -0,0 +1,148 @@
+"""The directory: callers ask it which VM to use."""
+
+from collections.abc import Iterable, Iterator, Mapping
+from random import Random
+from typing import Any
+
+from rosemaryweir.membership.directory_choice import Heard, choose_vms
+from rosemaryweir.membership.timing import DIRECTORY_TTL_S, HELLO_S, PULSE_S
+from rosemaryweir.node.action import Action, ReplyCaller
+from rosemaryweir.node.event import CallerRequest, PeerMessage, ShutdownAsked
+from rosemaryweir.node.part import Part, handles, part_of
+from rosemaryweir.node.state import NodeState
+from rosemaryweir.schema.generated.control import Grant, Member
+from rosemaryweir.schema.generated.http import (
+    DirectoryAnswer,
+    HealthAnswer,
+    Refusal,
+)
+
+__all__ = ['Directory']
+
+HTTP_OK = 200
+HTTP_UNAVAILABLE = 503
+
+#: When a refused caller may ask again, in ms.
+RETRY_AFTER_MS = 500
+
+#: From the shutdown until no VM names this one any more, in seconds.
+NAMED_S = PULSE_S + 2 * HELLO_S
+
+MS_PER_S = 1000
+
+
+@part_of('entry')
+class Directory(Part):
+    """Answer callers which VMs to use, and whether this one serves.
+
+    Notes
+    -----
+    From the moment a shutdown is asked this VM names itself no more.  Other
+    VMs name it while their news of it is younger than `PULSE_S`; their
+    callers keep that answer for the time to live.  Until both have passed the
+    part is busy, so that the entry still serves.
+    """
+
+    def __init__(self, state: NodeState, rng: Random) -> None:
+        super().__init__(state, rng)
+        self._heard: dict[str, Heard] = {}
+        self._unnamed: float | None = None
+
+    def next_wake(self) -> float | None:
+        """Return when the last answer that names this VM has expired."""
+        return self._unnamed
+
+    def wake(self, now: float) -> Iterable[Action]:
+        """Do nothing: the wake lets the node see that it may exit."""
+        if self._unnamed is not None and now >= self._unnamed:
+            self._unnamed = None
+        return ()
+
+    def busy(self, now: float) -> bool:
+        """Return whether a caller may still hold an answer naming this VM."""
+        return self._unnamed is not None and now < self._unnamed
+
+    @handles(ShutdownAsked)
+    def shut_down(self, event: ShutdownAsked, now: float) -> Iterable[Action]:
+        """Keep serving until every answer naming this VM has expired."""
+        if self._unnamed is None:
+            self._unnamed = now + NAMED_S + DIRECTORY_TTL_S
+        return ()
+
+    @handles(PeerMessage, 'grant')
+    def take_news(self, event: PeerMessage, now: float) -> Iterable[Action]:
+        """Take what the agent has heard of the other VMs."""
+        grant: Grant = event.message  # type: ignore[assignment]
+        if event.sender == f'{self.state.uid.vm}/agent':
+            self._heard = {
+                pulse['vm']: Heard(pulse, now - pulse['age_ms'] / MS_PER_S)
+                for pulse in grant.get('pulses', ())
+            }
+        return ()
+
+    @handles(CallerRequest, 'directory')
+    def answer(self, event: CallerRequest, now: float) -> Iterator[Action]:
+        """Answer which VMs to use."""
+        if not self.state.may_start(now):
+            yield _refuse(event.req, 'fenced', 'this VM may not answer now')
+            return
+        domain = str(event.body.get('domain', ''))
+        use = choose_vms(self._candidates(), self._heard, domain, now, self.rng)
+        if not use:
+            yield _refuse(event.req, 'no_capacity', 'no VM takes callers')
+            return
+        body = DirectoryAnswer(
+            use=use,
+            ttl_ms=round(DIRECTORY_TTL_S * MS_PER_S),
+            generation=self.state.config['generation'],
+        )
+        yield ReplyCaller(event.req, HTTP_OK, body)
+
+    @handles(CallerRequest, 'health')
+    def health(self, event: CallerRequest, now: float) -> Iterator[Action]:
+        """Answer whether this VM serves."""
+        serving = self.state.may_start(now)
+        body = HealthAnswer(
+            serving=serving,
+            state=self._condition(serving),  # type: ignore[typeddict-item]
+            generation=self.state.config['generation'],
+        )
+        yield ReplyCaller(
+            event.req,
+            HTTP_OK if serving else HTTP_UNAVAILABLE,
+            body,
+        )
+
+    def status(self, now: float) -> Mapping[str, Any]:
+        """Return which VMs were heard of."""
+        return {'heard': sorted(self._heard)}
+
+    def _candidates(self) -> Iterator[Member]:
+        state = self.state
+        domains = state.config['domains']
+        closed = {
+            name for name, domain in domains.items() if domain['state'] == 'out'
+        } | state.suspended
+        for member in state.members():
+            itself = member['vm'] == state.uid.vm
+            if member['domain'] not in closed and not (
+                itself and state.leaving
+            ):
+                yield member
+
+    def _condition(self, serving: bool) -> str:
+        if self.state.leaving:
+            return 'leaving'
+        if serving:
+            return 'serving'
+        return 'starting' if not self._heard else 'fenced'
+
+
+def _refuse(req: int, reason: str, detail: str) -> ReplyCaller:
+    body = Refusal(
+        reason=reason,  # type: ignore[typeddict-item]
+        ran='not_run',
+        detail=detail,
+        retry_after_ms=RETRY_AFTER_MS,
+    )
+    return ReplyCaller(req, HTTP_UNAVAILABLE, body)
--- /dev/null
+++ b/rosemaryweir/membership/timing.py
@@ -0,0 +1,39 @@
+"""Times and bounds of membership, leases and the directory."""
+
+__all__ = [
+    'AGENT_SILENCE_S',
+    'DIRECTORY_TTL_S',
+    'FRESH_S',
+    'GRANT_S',
+    'HELLO_S',
+    'PULSE_S',
+    'clock_skew',
+]
+
+from rosemaryweir.schema.generated.settings import Settings
+
+#: Pause between two hellos of an entry or leaf to its agent, in seconds.
+HELLO_S = 0.25
+
+#: Longest grant of an agent to the processes of its VM, in seconds.
+GRANT_S = 1.5
+
+#: How long evidence that nothing newer exists permits new work, in seconds.
+FRESH_S = 2.5
+
+#: How long what a VM said of itself lets the directory name it, in seconds.
+PULSE_S = 3.0
+
+#: How long callers keep an answer of the directory, in seconds.
+DIRECTORY_TTL_S = 5.0
+
+#: Silence after which a process of the own VM counts as gone, in seconds.
+AGENT_SILENCE_S = 2.0
+
+#: Allowance for clock drift where the settings name none, in ms.
+DEFAULT_SKEW_MS = 500
+
+
+def clock_skew(settings: Settings) -> float:
+    """Return the allowance for clock drift and short pauses, in seconds."""
+    return settings.get('max_clock_skew_ms', DEFAULT_SKEW_MS) / 1000
--- a/rosemaryweir/node/state.py
+++ b/rosemaryweir/node/state.py
@@ -87,6 +87,10 @@
         Failure domains that get no new work until a pending note is settled.
     leaving : bool
         Whether a graceful shutdown is under way.
+    load : float
+        Share of the node's capacity in use; the parts that know it set it.
+    in_flight : int
+        Requests that are not answered yet; likewise.
     """
 
     def __init__(self, uid: NodeUid, settings: Settings) -> None:
@@ -97,6 +101,8 @@
         self.lease = Lease()
         self.suspended: frozenset[str] = frozenset()
         self.leaving = False
+        self.load = 0.0
+        self.in_flight = 0
 
     def take_config(self, config: Config) -> bool:
         """Put a configuration in force; return whether it was newer.
