--- a/rosemaryweir/testing/__init__.py
+++ b/rosemaryweir/testing/__init__.py
@@ -8,4 +8,7 @@
 from rosemaryweir.testing.deployment import *
 from rosemaryweir.testing.fake_store import *
 from rosemaryweir.testing.fake_target import *
+from rosemaryweir.testing.network import *
+from rosemaryweir.testing.process import *
 from rosemaryweir.testing.scheduler import *
+from rosemaryweir.testing.target_link import *
--- a/rosemaryweir/testing/cluster.py
+++ b/rosemaryweir/testing/cluster.py
@@ -6,9 +6,9 @@
 others by a fixed amount, so that a time sent to another process shows.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from random import Random
-from typing import Any, NamedTuple
+from typing import Any
 
 from rosemaryweir import compose
 from rosemaryweir.node.action import (
@@ -33,20 +33,15 @@
 from rosemaryweir.node.event import (
     CallerGone,
     CallerRequest,
-    ConnectionClosed,
-    ConnectionFailed,
-    ConnectionOpened,
     Event,
     PeerMessage,
     ShutdownAsked,
-    TargetHealth,
     Wake,
 )
 from rosemaryweir.node.node import Node
 from rosemaryweir.node.part import parts_of
 from rosemaryweir.node.state import Lease, NodeState, NodeUid
 from rosemaryweir.schema.generated.config import Config, Service
-from rosemaryweir.schema.generated.control import Member, View
 from rosemaryweir.schema.generated.settings import Settings
 from rosemaryweir.testing.fake_store import FakeStore
 from rosemaryweir.testing.fake_target import (
@@ -55,89 +50,18 @@
     TargetSpec,
     exponential,
 )
+from rosemaryweir.testing.network import CALLER, Network
+from rosemaryweir.testing.process import Ask, Logged, Process, static_view
 from rosemaryweir.testing.scheduler import Scheduler
+from rosemaryweir.testing.target_link import TargetLink
 
-__all__ = ['Ask', 'Cluster', 'Logged', 'Process', 'static_view']
-
-#: One-way delays in seconds.
-SAME_DOMAIN = 0.0002
-OTHER_DOMAIN = 0.001
-CALLER = 0.003
-REFUSED_AFTER = 0.001
+__all__ = ['Cluster']
 
 #: Wall-clock time of virtual time 0, in seconds since the epoch.
 EPOCH = 1_800_000_000.0
 MS = 1000.0
 
 
-class Ask:
-    """A caller's request and what became of it.
-
-    Attributes
-    ----------
-    status : int
-        HTTP status; 0 while there is none (or the connection was cut).
-    answered : float
-        Virtual time of the answer at the caller; 0 while there is none.
-    cut : bool
-        Whether the process ended with the request open.
-    """
-
-    def __init__(self, vm: str, topic: str, body: Any, asked: float) -> None:
-        self.vm = vm
-        self.topic = topic
-        self.body = body
-        self.asked = asked
-        self.status = 0
-        self.answer: Any = None
-        self.answered = 0.0
-        self.cut = False
-        self.on_answer: Callable[[Ask], None] | None = None
-
-
-class Logged(NamedTuple):
-    """A log event of a process."""
-
-    when: float
-    process: str
-    event: LogEvent
-
-
-class Process:
-    """One process: a node, its clock offset, and whether it runs."""
-
-    def __init__(self, node: Node, settings: Settings, offset: float) -> None:
-        self.node = node
-        self.settings = settings
-        self.offset = offset
-        self.name = node.state.uid.name
-        self.alive = True
-        self.paused = False
-        self.backlog: list[Event] = []
-        self.wake_at: float | None = None
-        self.asks: dict[int, Ask] = {}
-        self.conns: dict[int, str] = {}
-        self.exit_code: int | None = None
-
-
-def static_view(domain: str, settings: Iterable[Settings]) -> View:
-    """Return the view in which every VM of a failure domain is alive."""
-    members = [
-        Member(
-            vm=each['vm'],
-            domain=each['domain'],
-            region=each['region'],
-            incarnation=1,
-            state='alive',
-            load=0.0,
-            **each['addresses'],
-        )
-        for each in settings
-        if each['domain'] == domain
-    ]
-    return View(domain=domain, version=1, members=members)
-
-
 class Cluster:
     """VMs, targets and a store in virtual time.
 
@@ -161,11 +85,8 @@
         The fakes, with their faults and logs.
     store : FakeStore
         The fake store.
-    cuts : set of frozenset of str
-        Pairs of VMs, or of failure domains, that can't reach each other.
-        A VM or failure domain paired with a target's domain cuts that, too.
-    loss : float
-        Share of messages between processes that are lost.
+    network : Network
+        Cuts, loss and delay.
     asks : list of Ask
         Every request of a caller.
     logs : list of Logged
@@ -190,10 +111,15 @@
         self.settings = {each['vm']: each for each in settings}
         self.store = FakeStore(self.scheduler, Random(seed + 1))
         self.store.live = tuple(self.settings)
-        self.targets: dict[str, FakeTarget] = {}
+        self.network = Network(self.rng)
+        self.link = TargetLink(
+            self.scheduler,
+            self.network,
+            self.deliver,
+            config,
+        )
+        self.targets = self.link.targets
         self.service_time = service_time or exponential(0.01)
-        self.cuts: set[frozenset[str]] = set()
-        self.loss = 0.0
         self.asks: list[Ask] = []
         self.logs: list[Logged] = []
         self.sent: dict[str, int] = {}
@@ -217,6 +143,20 @@
         """Let so much virtual time pass."""
         self.scheduler.run(self.scheduler.now + seconds)
 
+    @property
+    def cuts(self) -> set[frozenset[str]]:
+        """Cut pairs of the network."""
+        return self.network.cuts
+
+    @property
+    def loss(self) -> float:
+        """Share of messages between processes that are lost."""
+        return self.network.loss
+
+    @loss.setter
+    def loss(self, share: float) -> None:
+        self.network.loss = share
+
     # VMs
 
     def start_vm(self, settings: Settings) -> None:
@@ -287,6 +227,7 @@
     def set_config(self, config: Config) -> None:
         """Put a configuration in force on every node of a static cluster."""
         self.config = config
+        self.link.config = config
         self.add_targets(config)
         for process in self.processes.values():
             process.node.state.take_config(config)
@@ -446,6 +387,9 @@
             lambda event: self.deliver(process, event),
         )
 
+    def _target_call(self, process: Process, action: Any) -> None:
+        self.link.call(process, action)
+
     def _send_peer(self, process: Process, action: SendPeer) -> None:
         if self.size_of is not None:
             size = self.size_of(action.message)
@@ -456,152 +400,33 @@
         if receiver is None or receiver.name != action.to:
             return
         local = receiver.settings['vm'] == process.settings['vm']
-        if not local and self._lost(process.settings, receiver.settings):
+        lost = self.network.lost(process.settings, receiver.settings)
+        if lost and not local:
             return
         uid = process.node.state.uid
         event = PeerMessage(uid.name, uid.incarnation, action.message)
-        delay = self._delay(
+        delay = self.network.delay(
             process.settings['domain'],
             receiver.settings['domain'],
         )
         self.scheduler.after(delay, self.deliver, receiver, event)
 
-    def _lost(self, one: Settings, other: Settings) -> bool:
-        if self.loss and self.rng.random() < self.loss:
-            return True
-        return bool(self.cuts) and any(
-            frozenset(pair) in self.cuts
-            for pair in (
-                (one['vm'], other['vm']),
-                (one['domain'], other['domain']),
-                (one['vm'], other['domain']),
-                (one['domain'], other['vm']),
-            )
-        )
-
-    def _delay(self, one: str, other: str) -> float:
-        base = SAME_DOMAIN if one == other else OTHER_DOMAIN
-        return base * (1 + self.rng.random() * 0.2)
-
-    def _path(self, process: Process, target: str) -> float | None:
-        known = self.config['targets'].get(target)
-        domain = known['domain'] if known else ''
-        mine = process.settings
-        cut = bool(self.cuts) and any(
-            frozenset((name, domain)) in self.cuts
-            for name in (mine['vm'], mine['domain'])
-        )
-        return None if cut else self._delay(mine['domain'], domain)
-
-    def _open(self, process: Process, action: OpenConnection) -> None:
-        process.conns[action.conn] = action.target
-        target = self.targets.get(action.target)
-        path = self._path(process, action.target)
-        left = action.deadline - process.offset - self.now
-        if target is None or path is None:
-            self._fail(process, action, 'timeout', left)
-            return
-        cost = path * 2 + target.spec.connect_time
-        if cost > left:
-            self._fail(process, action, 'timeout', left)
-            return
-        self.scheduler.after(cost, self._opened, process, action, target)
-
-    def _opened(
-        self,
-        process: Process,
-        action: OpenConnection,
-        target: FakeTarget,
-    ) -> None:
-        if action.conn not in process.conns or not process.alive:
-            return
-        reason = target.open(
-            (process.name, action.conn),
-            lambda event: self._from_target(process, event),
-        )
-        if reason:
-            self._fail(process, action, reason, REFUSED_AFTER)
-        else:
-            self.deliver(process, ConnectionOpened(action.conn, action.target))
-
-    def _fail(
-        self,
-        process: Process,
-        action: OpenConnection,
-        reason: str,
-        delay: float,
-    ) -> None:
-        event = ConnectionFailed(action.conn, action.target, reason)
-        self.scheduler.after(max(delay, 0), self._failed, process, event)
-
-    def _failed(self, process: Process, event: ConnectionFailed) -> None:
-        if process.conns.pop(event.conn, None) is not None:
-            self.deliver(process, event)
-
-    def _from_target(self, process: Process, event: Event) -> None:
-        conn = getattr(event, 'conn', None)
-        if conn not in process.conns:
-            return
-        if self._path(process, process.conns[conn]) is None:
-            return
-        if isinstance(event, ConnectionClosed):
-            process.conns.pop(conn)
-        self.deliver(process, event)
-
-    def _close(self, process: Process, action: CloseConnection) -> None:
-        target = self.targets.get(process.conns.pop(action.conn, ''))
-        if target is not None:
-            conn = (process.name, action.conn)
-            self.scheduler.after(OTHER_DOMAIN, target.hang_up, conn)
-
-    def _send_target(self, process: Process, action: SendTarget) -> None:
-        name = process.conns.get(action.conn, '')
-        path = self._path(process, name)
-        if name not in self.targets or path is None:
-            return
-        left = action.deadline - process.offset - self.now
-        self.scheduler.after(
-            path,
-            self.targets[name].receive,
-            (process.name, action.conn),
-            process.name,
-            action,
-            left - path,
-        )
-
-    def _cancel(self, process: Process, action: CancelAttempt) -> None:
-        target = self.targets.get(action.target)
-        path = self._path(process, action.target)
-        if target is not None and path is not None:
-            self.scheduler.after(path, target.cancel, action.attempt)
-
-    def _probe(self, process: Process, action: ProbeTarget) -> None:
-        target = self.targets.get(action.target)
-        path = self._path(process, action.target)
-        if target is None or path is None or not target.up:
-            event = TargetHealth(action.target, 'unreachable', 0.0, 0)
-        else:
-            state = 'draining' if target.draining else 'ready'
-            load = len(target.running) / target.spec.slots
-            event = TargetHealth(
-                action.target,
-                state,
-                load,
-                target.incarnation,
-            )
-        self.scheduler.after(OTHER_DOMAIN * 2, self.deliver, process, event)
-
 
 _HANDLERS: dict[type, Callable[[Cluster, Process, Any], None]] = {
     ReplyCaller: Cluster._reply,
     LogEvent: Cluster._log,
     Exit: Cluster._exit,
     SendPeer: Cluster._send_peer,
-    OpenConnection: Cluster._open,
-    CloseConnection: Cluster._close,
-    SendTarget: Cluster._send_target,
-    CancelAttempt: Cluster._cancel,
-    ProbeTarget: Cluster._probe,
+    **{
+        kind: Cluster._target_call
+        for kind in (
+            OpenConnection,
+            CloseConnection,
+            SendTarget,
+            CancelAttempt,
+            ProbeTarget,
+        )
+    },
     **{
         kind: Cluster._store_call
         for kind in (
--- /dev/null
+++ b/rosemaryweir/testing/target_link.py
@@ -0,0 +1,176 @@
+"""Carry a process's target actions to the fakes of targets."""
+
+from collections.abc import Callable
+from typing import Any
+
+from rosemaryweir.node.action import (
+    CancelAttempt,
+    CloseConnection,
+    OpenConnection,
+    ProbeTarget,
+    SendTarget,
+)
+from rosemaryweir.node.event import (
+    ConnectionClosed,
+    ConnectionFailed,
+    ConnectionOpened,
+    Event,
+    TargetHealth,
+)
+from rosemaryweir.schema.generated.config import Config
+from rosemaryweir.testing.fake_target import FakeTarget
+from rosemaryweir.testing.network import OTHER_DOMAIN, Network
+from rosemaryweir.testing.process import Process
+from rosemaryweir.testing.scheduler import Scheduler
+
+__all__ = ['TargetLink']
+
+REFUSED_AFTER = 0.001
+
+
+class TargetLink:
+    """The Target port of every process, over the fakes.
+
+    Parameters
+    ----------
+    scheduler : Scheduler
+        Virtual time.
+    network : Network
+        Delays and cuts.
+    deliver : callable
+        ``(process, event)`` gives a process an event.
+
+    Attributes
+    ----------
+    targets : dict of str to FakeTarget
+        The fakes.
+    config : Config
+        Tells the failure domain of each target.
+    """
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        network: Network,
+        deliver: Callable[[Process, Event], None],
+        config: Config,
+    ) -> None:
+        self.scheduler = scheduler
+        self.network = network
+        self.deliver = deliver
+        self.config = config
+        self.targets: dict[str, FakeTarget] = {}
+        self._handlers: dict[type, Callable[[Process, Any], None]] = {
+            OpenConnection: self._open,
+            CloseConnection: self._close,
+            SendTarget: self._send_target,
+            CancelAttempt: self._cancel,
+            ProbeTarget: self._probe,
+        }
+
+    def call(self, process: Process, action: Any) -> None:
+        """Carry out an action of a process."""
+        self._handlers[type(action)](process, action)
+
+    def _path(self, process: Process, target: str) -> float | None:
+        known = self.config['targets'].get(target)
+        domain = known['domain'] if known else ''
+        return self.network.path(process.settings, domain)
+
+    def _open(self, process: Process, action: OpenConnection) -> None:
+        process.conns[action.conn] = action.target
+        target = self.targets.get(action.target)
+        path = self._path(process, action.target)
+        left = action.deadline - process.offset - self.scheduler.now
+        if target is None or path is None:
+            self._fail(process, action, 'timeout', left)
+            return
+        cost = path * 2 + target.spec.connect_time
+        if cost > left:
+            self._fail(process, action, 'timeout', left)
+            return
+        self.scheduler.after(cost, self._opened, process, action, target)
+
+    def _opened(
+        self,
+        process: Process,
+        action: OpenConnection,
+        target: FakeTarget,
+    ) -> None:
+        if action.conn not in process.conns or not process.alive:
+            return
+        reason = target.open(
+            (process.name, action.conn),
+            lambda event: self._from_target(process, event),
+        )
+        if reason:
+            self._fail(process, action, reason, REFUSED_AFTER)
+        else:
+            self.deliver(process, ConnectionOpened(action.conn, action.target))
+
+    def _fail(
+        self,
+        process: Process,
+        action: OpenConnection,
+        reason: str,
+        delay: float,
+    ) -> None:
+        event = ConnectionFailed(action.conn, action.target, reason)
+        self.scheduler.after(max(delay, 0), self._failed, process, event)
+
+    def _failed(self, process: Process, event: ConnectionFailed) -> None:
+        if process.conns.pop(event.conn, None) is not None:
+            self.deliver(process, event)
+
+    def _from_target(self, process: Process, event: Event) -> None:
+        conn = getattr(event, 'conn', None)
+        if conn not in process.conns:
+            return
+        if self._path(process, process.conns[conn]) is None:
+            return
+        if isinstance(event, ConnectionClosed):
+            process.conns.pop(conn)
+        self.deliver(process, event)
+
+    def _close(self, process: Process, action: CloseConnection) -> None:
+        target = self.targets.get(process.conns.pop(action.conn, ''))
+        if target is not None:
+            conn = (process.name, action.conn)
+            self.scheduler.after(OTHER_DOMAIN, target.hang_up, conn)
+
+    def _send_target(self, process: Process, action: SendTarget) -> None:
+        name = process.conns.get(action.conn, '')
+        path = self._path(process, name)
+        if name not in self.targets or path is None:
+            return
+        left = action.deadline - process.offset - self.scheduler.now
+        self.scheduler.after(
+            path,
+            self.targets[name].receive,
+            (process.name, action.conn),
+            process.name,
+            action,
+            left - path,
+        )
+
+    def _cancel(self, process: Process, action: CancelAttempt) -> None:
+        target = self.targets.get(action.target)
+        path = self._path(process, action.target)
+        if target is not None and path is not None:
+            self.scheduler.after(path, target.cancel, action.attempt)
+
+    def _probe(self, process: Process, action: ProbeTarget) -> None:
+        target = self.targets.get(action.target)
+        path = self._path(process, action.target)
+        if target is None or path is None or not target.up:
+            event = TargetHealth(action.target, 'unreachable', 0.0, 0)
+        else:
+            state = 'draining' if target.draining else 'ready'
+            load = len(target.running) / target.spec.slots
+            event = TargetHealth(
+                action.target,
+                state,
+                load,
+                target.incarnation,
+            )
+        self.scheduler.after(OTHER_DOMAIN * 2, self.deliver, process, event)
