--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 DEPLOYMENT ?= halvorsen
 BIN := .venv/bin
 
-.PHONY: demo test setup lint format generate ci bench clean
+.PHONY: demo test setup lint format generate pages check-pages bench clean
 
 setup: .venv/installed
 
@@ -34,6 +34,12 @@
 generate: setup
 	$(BIN)/python -m tools.generate
 
+pages: setup
+	$(BIN)/python -m tools.pages
+
+check-pages: setup
+	$(BIN)/python -m tools.pages --check
+
 bench: setup
 	$(BIN)/python -m benchmarks all --quick
 
