Leaf's deciders: slots, connections, warmth, queue, handover, orders

Cause: limits of a target can hold over the whole fleet only in one place; the leaf that owns a target is that place. Change: TargetService over small deciders: accounts of slots (held until the answer, or until the deadline after a close), connection budget with pacing, warmth by a cumulative sum over latencies, silence by overtaken replies or an unanswered cancellation, a deadline-aware queue, exclusion of leaving targets, ownership handed on like a token with lapse as the way out, orders sent once.

--- a/rosemaryweir/targets/__init__.py
+++ b/rosemaryweir/targets/__init__.py
@@ -1,3 +1,22 @@
 """Targets: limits, warmth, connections, ownership."""
 
+from rosemaryweir.targets.account import *
+from rosemaryweir.targets.connections import *
+from rosemaryweir.targets.dispatcher import *
+from rosemaryweir.targets.fleet import *
+from rosemaryweir.targets.gate import *
+from rosemaryweir.targets.handover import *
+from rosemaryweir.targets.latency import *
+from rosemaryweir.targets.leaving import *
+from rosemaryweir.targets.limits import *
+from rosemaryweir.targets.order_memory import *
+from rosemaryweir.targets.outbox import *
 from rosemaryweir.targets.ownership import *
+from rosemaryweir.targets.queue import *
+from rosemaryweir.targets.releases import *
+from rosemaryweir.targets.results import *
+from rosemaryweir.targets.silence import *
+from rosemaryweir.targets.slots import *
+from rosemaryweir.targets.timers import *
+from rosemaryweir.targets.warmth import *
+from rosemaryweir.targets.work import *
--- /dev/null
+++ b/rosemaryweir/targets/connections.py
@@ -0,0 +1,136 @@
+"""Connections to one target: budget, pacing, age.
+
+The budget counts every connection that the target may still hold: opening,
+open, and those closed here whose closing it may never have seen.
+"""
+
+from rosemaryweir.targets.limits import Limits
+from rosemaryweir.targets.work import Work
+
+__all__ = ['Conn', 'Pool']
+
+#: Part of a target's connections that one leaf uses; the rest is left to a
+#: previous owner whose connections may still stand.
+OWN_SHARE = 0.5
+#: Time between two openings, in multiples of what an opening costs.
+PACE = 2.0
+#: How long a target may hold a closed connection, and a silent one, in s.
+CLOSED_HOLD = 0.5
+SILENT_HOLD = 30.0
+#: Wait after a failed opening, in s, and its cap; it doubles each time.
+BACKOFF = 0.05
+BACKOFF_CAP = 1.0
+#: An order goes on a connection that proved alive so lately, in s.
+PROVEN_WITHIN = 1.0
+
+
+class Conn:
+    """One connection; ``alive_at`` is when it last proved alive."""
+
+    __slots__ = ('alive_at', 'number', 'opened', 'target', 'work')
+
+    def __init__(self, number: int, target: str) -> None:
+        self.number = number
+        self.target = target
+        self.opened = False
+        self.alive_at = 0.0
+        self.work: Work | None = None
+
+
+class Pool:
+    """The connections to one target.
+
+    Parameters
+    ----------
+    limits : Limits
+        What the target bears.
+    """
+
+    __slots__ = ('_closing', '_failures', '_not_before', 'conns', 'limits')
+
+    def __init__(self, limits: Limits) -> None:
+        self.limits = limits
+        self.conns: dict[int, Conn] = {}
+        self._closing: list[float] = []
+        self._failures = 0
+        self._not_before = 0.0
+
+    @property
+    def budget(self) -> int:
+        """Connections that this leaf lets the target hold."""
+        return max(1, int(self.limits.connections * OWN_SHARE))
+
+    @property
+    def opening(self) -> int:
+        """Connections that are being opened."""
+        return sum(not conn.opened for conn in self.conns.values())
+
+    def held(self, now: float) -> int:
+        """Return how many connections the target may hold."""
+        if self._closing:
+            self._closing = [until for until in self._closing if until > now]
+        return len(self.conns) + len(self._closing)
+
+    def may_open(self, now: float) -> bool:
+        """Return whether a connection may be opened now."""
+        if now < self._not_before or self.opening:
+            return False
+        return self.held(now) < self.budget
+
+    def next_open(self) -> float:
+        """Return the time before which no connection is opened."""
+        return self._not_before
+
+    def open(self, number: int, target: str, now: float) -> Conn:
+        """Begin to open a connection."""
+        conn = Conn(number, target)
+        self.conns[number] = conn
+        self._not_before = now + PACE * self.limits.connect_time
+        return conn
+
+    def opened(self, number: int, now: float) -> None:
+        """Note that a connection stands."""
+        conn = self.conns[number]
+        conn.opened = True
+        conn.alive_at = now
+        self._failures = 0
+
+    def failed(self, number: int, now: float) -> None:
+        """Drop a connection that could not be opened; wait before more."""
+        self.conns.pop(number, None)
+        wait = min(BACKOFF_CAP, BACKOFF * 2**self._failures)
+        self._failures = min(self._failures + 1, 10)
+        self._not_before = max(self._not_before, now + wait)
+
+    def closed(self, number: int, now: float, silent: bool) -> Conn | None:
+        """Drop a connection closed here; the target may hold it longer."""
+        conn = self.conns.pop(number, None)
+        if conn is not None:
+            hold = SILENT_HOLD if silent else CLOSED_HOLD
+            self._closing.append(now + hold)
+        return conn
+
+    def gone(self, number: int) -> Conn | None:
+        """Drop a connection that the target closed."""
+        return self.conns.pop(number, None)
+
+    def restarted(self) -> None:
+        """Forget what an earlier incarnation of the target held."""
+        self._closing.clear()
+
+    def idle(self) -> Conn | None:
+        """Return the idle connection that last proved alive, if any."""
+        best: Conn | None = None
+        for conn in self.conns.values():
+            if conn.opened and conn.work is None:
+                if best is None or conn.alive_at > best.alive_at:
+                    best = conn
+        return best
+
+    def stale(self, before: float) -> list[Conn]:
+        """Return idle connections that last proved alive before a time."""
+        return [
+            conn
+            for conn in self.conns.values()
+            if conn.opened and conn.work is None and conn.alive_at < before
+        ]
--- /dev/null
+++ b/rosemaryweir/targets/fleet.py
@@ -0,0 +1,189 @@
+"""The targets of a leaf: configuration, views, signs of leaving."""
+
+from collections.abc import Iterable, Iterator
+
+from rosemaryweir.node.action import Action, LogEvent
+from rosemaryweir.node.catalogue import register_event
+from rosemaryweir.node.state import NodeState, empty_config
+from rosemaryweir.schema.generated.config import Config
+from rosemaryweir.schema.generated.control import View
+from rosemaryweir.targets.account import Account
+from rosemaryweir.targets.handover import Handing, Handover
+from rosemaryweir.targets.leaving import (
+    CLOSES_WITHIN,
+    IN_USE_WITHIN,
+    Exclusions,
+    closes_all,
+)
+from rosemaryweir.targets.limits import Limits, limits_of
+
+__all__ = ['Fleet']
+
+EXCLUDED = register_event(
+    300,
+    'target.excluded',
+    'warning',
+    'A target is leaving and gets no new work until it restarts or a newer '
+    'configuration comes; the reason tells which sign was seen.',
+)
+READMITTED = register_event(
+    301,
+    'target.readmitted',
+    'info',
+    'A target that was leaving takes work again, as a cold one.',
+)
+
+
+class Fleet:
+    """Accounts of the targets, kept in line with configuration and views.
+
+    Parameters
+    ----------
+    state : NodeState
+        Configuration and views.
+    handover : Handover
+        Which targets this leaf may use.
+    exclusions : Exclusions
+        Targets that are leaving.
+
+    Attributes
+    ----------
+    accounts : dict of str to Account
+        Targets that this leaf has used or been asked for.
+    actions : list of Action
+        Log events.
+    """
+
+    def __init__(
+        self,
+        state: NodeState,
+        handover: Handover,
+        exclusions: Exclusions,
+    ) -> None:
+        self.state = state
+        self.handover = handover
+        self.exclusions = exclusions
+        self.accounts: dict[str, Account] = {}
+        self.actions: list[Action] = []
+        self._config: Config = empty_config()
+        self._limits: dict[str, Limits] = {}
+        self._by_domain: dict[str, list[str]] = {}
+        self._listed: frozenset[str] = frozenset()
+
+    def account(self, target: str) -> Account | None:
+        """Return the account of a target; None for one not configured."""
+        account = self.accounts.get(target)
+        if account is None and target in self._limits:
+            known = self._config['targets'].get(target)
+            if known is not None:
+                account = Account(
+                    target,
+                    known['address'],
+                    known['domain'],
+                    self._limits[target],
+                )
+                self.accounts[target] = account
+        return account
+
+    def follow(self, now: float) -> list[View]:
+        """Follow configuration and views; return the views just adopted."""
+        if self.state.config is not self._config:
+            self._configure(now)
+        adopted = [
+            view
+            for domain, view in self.state.views.items()
+            if self.handover.views.get(domain) is not view
+        ]
+        for view in adopted:
+            self.handover.observe(self.state.lease.until, now)
+            names = self._by_domain.get(view['domain'], [])
+            self.handover.adopt(view, names, now)
+        return adopted
+
+    def listed(self, leaving: Iterable[str]) -> None:
+        """Take the platform's list: those new among the leaving ones."""
+        now_leaving = frozenset(leaving) & self._limits.keys()
+        for target in sorted(now_leaving - self._listed):
+            self.exclude(target, 'platform list')
+        self._listed = now_leaving
+
+    def exclude(self, target: str, reason: str) -> None:
+        """Give a target no new work."""
+        account = self.accounts.get(target)
+        incarnation = 0 if account is None else account.incarnation
+        generation = self._config['generation']
+        if self.exclusions.add(target, reason, incarnation, generation):
+            fields = {'target': target, 'reason': reason}
+            self.actions.append(LogEvent(EXCLUDED, fields))
+
+    def met(self, target: str, incarnation: int) -> None:
+        """Note an incarnation of a target."""
+        if target in self.exclusions:
+            self._lift(target, incarnation)
+
+    def closed_in_use(self, account: Account, now: float) -> None:
+        """Note that a target closed a connection that was in use."""
+        account.closes = [
+            when for when in account.closes if now - when <= CLOSES_WITHIN
+        ]
+        account.closes.append(now)
+        if closes_all(account.closes, len(account.pool.conns), now):
+            self.exclude(account.name, 'closes its connections')
+
+    def in_use(self, account: Account, number: int, now: float) -> bool:
+        """Return whether a connection carried work of late."""
+        conn = account.pool.conns.get(number)
+        if conn is None or not conn.opened:
+            return False
+        return conn.work is not None or now - conn.alive_at <= IN_USE_WITHIN
+
+    def drained(self, now: float) -> Iterator[Handing]:
+        """Take out and yield what this leaf gives up and no longer uses."""
+        for target in tuple(self.handover.giving):
+            account = self.accounts.get(target)
+            if account is None or not account.slots.held(now):
+                yield self.handover.giving.pop(target)
+
+    def _configure(self, now: float) -> None:
+        old = self._config
+        self._config = self.state.config
+        self._limits = limits_of(self._config)
+        self._by_domain = _by_domain(self._config)
+        for name, account in tuple(self.accounts.items()):
+            self._reconfigure(name, account)
+        for target in old['targets'].keys() - self._config['targets'].keys():
+            self.handover.drop(target)
+        for domain, names in self._by_domain.items():
+            self.handover.track(domain, names)
+        for target in self.exclusions.names():
+            self._lift(target, 0)
+
+    def _reconfigure(self, name: str, account: Account) -> None:
+        known = self._config['targets'].get(name)
+        limits = self._limits.get(name)
+        if known is not None and limits is not None:
+            account.resize(limits, known['address'])
+        elif account.idle:
+            self.accounts.pop(name)
+        if not self._in_service(account.domain):
+            # It may have been restarted, or lost its caches, meanwhile.
+            account.warmth.chilled()
+
+    def _in_service(self, domain: str) -> bool:
+        known = self._config['domains'].get(domain)
+        return known is not None and known['state'] == 'in'
+
+    def _lift(self, target: str, incarnation: int) -> None:
+        generation = self._config['generation']
+        if self.exclusions.lift(target, incarnation, generation):
+            account = self.accounts.get(target)
+            if account is not None:
+                account.warmth.chilled()
+            self.actions.append(LogEvent(READMITTED, {'target': target}))
+
+
+def _by_domain(config: Config) -> dict[str, list[str]]:
+    domains: dict[str, list[str]] = {}
+    for name, target in config['targets'].items():
+        domains.setdefault(target['domain'], []).append(name)
+    return domains
--- /dev/null
+++ b/rosemaryweir/targets/handover.py
@@ -0,0 +1,231 @@
+"""Which targets this leaf may use, while views change.
+
+A leaf that a view makes the owner of a target waits until the previous owner
+has released it, or until the previous owner's lease has surely lapsed and
+what it last sent can't be running any more.  The right to use a target is
+handed on like a token: only a leaf that has it, without a break, releases it.
+
+Versions guard against releases that come late or twice: one made under a
+view older than that which made this leaf the owner, or not newer than the
+last one accepted, is void.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from rosemaryweir.schema.generated.control import View
+from rosemaryweir.targets.ownership import owner
+from rosemaryweir.targets.slots import DEADLINE_MARGIN
+from rosemaryweir.targets.work import MAX_WORK
+
+__all__ = ['Handing', 'Handover']
+
+#: Releases that come so soon after a start may be meant for the process
+#: before, in s.
+RESTART_GUARD = 1.5
+#: What a previous owner, or a previous process here, may have left running
+#: is over after so long, in s.
+LEFTOVER = MAX_WORK + DEADLINE_MARGIN
+NEVER = float('inf')
+FIRST_VERSION = 1
+
+
+class Handing(NamedTuple):
+    """A target to release: under which view, and to which VM."""
+
+    target: str
+    domain: str
+    view: int
+    to: str
+
+
+class Tenure:
+    """Ownership of one target since the view version that gave it."""
+
+    __slots__ = ('domain', 'gained', 'ready_at')
+
+    def __init__(self, domain: str, gained: int, ready_at: float) -> None:
+        self.domain = domain
+        self.gained = gained
+        self.ready_at = ready_at
+
+
+class Handover:
+    """The targets that this leaf owns, and since when it may use them.
+
+    Parameters
+    ----------
+    vm : str
+        The VM of this leaf.
+    born : float
+        When this process started.
+
+    Attributes
+    ----------
+    views : dict of str to View
+        The views adopted.
+    giving : dict of str to Handing
+        Targets lost whose use this leaf hasn't yet released.
+    """
+
+    def __init__(self, vm: str, born: float) -> None:
+        self.vm = vm
+        self.born = born
+        self.views: dict[str, View] = {}
+        self.giving: dict[str, Handing] = {}
+        self._tenures: dict[str, Tenure] = {}
+        self._settled: dict[str, float] = {}
+        self._broken: set[str] = set()
+        self._accepted: dict[str, int] = {}
+        self._early: dict[str, int] = {}
+        self._lease_until = 0.0
+
+    def ready(self, target: str, now: float) -> bool:
+        """Return whether this leaf may use a target."""
+        tenure = self._tenures.get(target)
+        return tenure is not None and now >= tenure.ready_at
+
+    def owned(self) -> Iterable[str]:
+        """Return the targets owned, ready or not."""
+        return self._tenures.keys()
+
+    def next_ready(self, now: float) -> float | None:
+        """Return when the next target becomes ready by time alone."""
+        waits = (tenure.ready_at for tenure in self._tenures.values())
+        return min((at for at in waits if now < at < NEVER), default=None)
+
+    def observe(self, lease_until: float, now: float) -> None:
+        """Look at the lease: a lapse breaks the tenure of every view."""
+        if now >= self._lease_until:
+            self._broken.update(self.views)
+        self._lease_until = lease_until
+
+    def adopt(
+        self,
+        view: View,
+        targets: Iterable[str],
+        now: float,
+    ) -> None:
+        """Adopt a newer view.
+
+        Parameters
+        ----------
+        view : View
+            The view of a failure domain.
+        targets : iterable of str
+            The targets of that failure domain.
+        now : float
+            The present time.
+
+        Notes
+        -----
+        What was lost is kept in ``giving`` until it is released.
+        """
+        domain, version = view['domain'], view['version']
+        known = self.views.get(domain)
+        unbroken = self._unbroken(known, version, now)
+        self.views[domain] = view
+        self._broken.discard(domain)
+        first = known is None and version == FIRST_VERSION
+        self._settled[domain] = self.born + LEFTOVER if first else NEVER
+        for target in targets:
+            had = unbroken and self._holds(target, now)
+            self.giving.pop(target, None)
+            if owner(target, view) == self.vm:
+                self._gain(target, view, had)
+            else:
+                self._lose(target, view, had)
+
+    def track(self, domain: str, targets: Iterable[str]) -> None:
+        """Take up targets that are new in the configuration."""
+        view = self.views.get(domain)
+        if view is None:
+            return
+        for target in targets:
+            if target not in self._tenures and owner(target, view) == self.vm:
+                self._tenures[target] = Tenure(
+                    domain,
+                    view['version'],
+                    self._settled[domain],
+                )
+
+    def drop(self, target: str) -> None:
+        """Forget a target that the configuration no longer has."""
+        self._tenures.pop(target, None)
+
+    def lapse(self, view: View, wait: float, now: float) -> None:
+        """Note in how many s the owners before a view have surely lapsed.
+
+        A negative wait stands for unknown.
+        """
+        domain = view['domain']
+        known = self.views.get(domain)
+        if wait < 0 or known is None or known['version'] != view['version']:
+            return
+        over = max(now + wait, self.born) + LEFTOVER
+        self._settled[domain] = min(self._settled[domain], over)
+        for tenure in self._tenures.values():
+            if tenure.domain == domain:
+                tenure.ready_at = min(tenure.ready_at, over)
+
+    def released(
+        self,
+        domain: str,
+        version: int,
+        targets: Iterable[str],
+        now: float,
+    ) -> None:
+        """Take a release by the previous owner."""
+        if now < self.born + RESTART_GUARD:
+            return
+        for target in targets:
+            tenure = self._tenures.get(target)
+            self._early[target] = max(version, self._early.get(target, 0))
+            if tenure is not None:
+                self._accept(target, tenure, now)
+
+    def _unbroken(
+        self,
+        known: View | None,
+        version: int,
+        now: float,
+    ) -> bool:
+        """Return whether nobody can have owned targets in between."""
+        if known is None:
+            return False
+        if version == known['version'] + 1:
+            return True
+        return known['domain'] not in self._broken and now < self._lease_until
+
+    def _holds(self, target: str, now: float) -> bool:
+        return target in self.giving or self.ready(target, now)
+
+    def _gain(self, target: str, view: View, had: bool) -> None:
+        if had and target in self._tenures:
+            return
+        domain, version = view['domain'], view['version']
+        ready_at = self.born if had else self._settled[domain]
+        tenure = Tenure(domain, version, ready_at)
+        self._tenures[target] = tenure
+        self._accept(target, tenure, self.born)
+
+    def _lose(self, target: str, view: View, had: bool) -> None:
+        self._tenures.pop(target, None)
+        to = owner(target, view)
+        if had and to is not None:
+            self.giving[target] = Handing(
+                target,
+                view['domain'],
+                view['version'],
+                to,
+            )
+
+    def _accept(self, target: str, tenure: Tenure, now: float) -> None:
+        version = self._early.get(target, 0)
+        if version < tenure.gained or version <= self._accepted.get(target, 0):
+            return
+        self._accepted[target] = version
+        tenure.ready_at = min(
+            tenure.ready_at,
+            max(now, self.born + LEFTOVER),
+        )
--- /dev/null
+++ b/rosemaryweir/targets/limits.py
@@ -0,0 +1,78 @@
+"""What each target bears, as the configuration states it."""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from rosemaryweir.schema.generated.config import Config, Service
+
+__all__ = ['Limits', 'limits_of']
+
+MS_PER_S = 1000.0
+
+
+class Limits(NamedTuple):
+    """What one target bears.
+
+    Parameters
+    ----------
+    slots, cold_slots : int
+        Requests at once, warm and cold.
+    connections : int
+        Connections that it accepts.
+    connect_time : float
+        Seconds that a new connection costs it.
+    warm_after : int
+        Replies after which a cold target counts as warm.
+    """
+
+    slots: int
+    cold_slots: int
+    connections: int
+    connect_time: float
+    warm_after: int
+
+    @classmethod
+    def from_config(cls, service: Service) -> 'Limits':
+        """Return the limits that a service states for its targets."""
+        return cls(
+            service['slots'],
+            min(service['cold_slots'], service['slots']),
+            service['connections'],
+            service['connect_ms'] / MS_PER_S,
+            service['warm_after'],
+        )
+
+    def tightest(self, other: 'Limits') -> 'Limits':
+        """Return the limits that satisfy both."""
+        return Limits(
+            min(self.slots, other.slots),
+            min(self.cold_slots, other.cold_slots),
+            min(self.connections, other.connections),
+            max(self.connect_time, other.connect_time),
+            max(self.warm_after, other.warm_after),
+        )
+
+
+def limits_of(config: Config) -> dict[str, Limits]:
+    """Return the limits of every target that a service uses.
+
+    A target of several services gets the tightest of their limits.
+
+    Examples
+    --------
+    >>> from rosemaryweir.node.state import empty_config
+    >>> limits_of(empty_config())
+    {}
+    """
+    found: dict[str, Limits] = {}
+    for service in config['services'].values():
+        limits = Limits.from_config(service)
+        for target in _targets_of(service):
+            known = found.get(target, limits)
+            found[target] = known.tightest(limits)
+    return found
+
+
+def _targets_of(service: Service) -> Iterator[str]:
+    for shard in service['shards'].values():
+        yield from shard['targets']
--- /dev/null
+++ b/rosemaryweir/targets/outbox.py
@@ -0,0 +1,166 @@
+"""Messages of a leaf to entries and other leaves."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from rosemaryweir.node.action import Action, SendPeer
+from rosemaryweir.node.state import NodeState
+from rosemaryweir.schema.generated.control import Member
+from rosemaryweir.schema.generated.orders import OrderResult
+from rosemaryweir.schema.generated.query import Load, Partial
+from rosemaryweir.targets.account import Account
+from rosemaryweir.targets.dispatcher import Outcome
+from rosemaryweir.targets.order_memory import OrderMemory
+from rosemaryweir.targets.results import TICK, Batch, Route, partials_of
+from rosemaryweir.targets.timers import Timers
+from rosemaryweir.targets.work import Work
+
+__all__ = ['Outbox']
+
+MS_PER_S = 1000.0
+#: Time in which a message must leave, in s.
+SEND_WITHIN = 1.0
+#: Results of orders by status of the reply; the target refused the first.
+ORDER_RESULTS = {
+    'shed': 'refused',
+    'wrong_version': 'refused',
+    'ok': 'done',
+    'failed': 'failed',
+}
+
+
+class Outbox:
+    """Turns outcomes of attempts into messages to those who asked.
+
+    Parameters
+    ----------
+    state : NodeState
+        Knows the addresses of the members.
+    timers : Timers
+        Where the ticks are put.
+    accounts : mapping of str to Account
+        The targets, whose load is told along.
+    """
+
+    def __init__(
+        self,
+        state: NodeState,
+        timers: Timers,
+        accounts: Mapping[str, Account],
+    ) -> None:
+        self.state = state
+        self.timers = timers
+        self.accounts = accounts
+        self.actions: list[Action] = []
+        self.orders = OrderMemory()
+        self._batches: dict[tuple[str, str], Batch] = {}
+        self._members: dict[str, Member] = {}
+
+    def members_changed(self) -> None:
+        """Look up the addresses of the members anew."""
+        self._members = {each['vm']: each for each in self.state.members()}
+
+    def batch(self, sender: str, query: str, until: float) -> Batch:
+        """Return the batch of a query of an entry."""
+        batch = self._batches.get((sender, query))
+        if batch is None:
+            batch = Batch(sender, query)
+            self._batches[(sender, query)] = batch
+        batch.until = max(batch.until, until)
+        return batch
+
+    def settle(self, work: Work, outcome: Outcome, now: float) -> None:
+        """Tell the outcome of an attempt, once, to who asked for it."""
+        route = work.batch
+        work.batch = None
+        if isinstance(route, Batch):
+            self._settle_piece(route, work, outcome, now)
+        elif isinstance(route, Route):
+            self._settle_order(route, work, outcome, now)
+
+    def send(
+        self,
+        peer: str,
+        message: Mapping[str, Any],
+        now: float,
+    ) -> None:
+        """Send a message to a peer, if its address is known."""
+        vm, _, role = peer.partition('/')
+        member = self._members.get(vm)
+        if member is None:
+            return
+        address = str(member[f'{role}_peer'])  # type: ignore[literal-required]
+        self.actions.append(
+            SendPeer(peer, address, message, now + SEND_WITHIN),
+        )
+
+    def _settle_piece(
+        self,
+        batch: Batch,
+        work: Work,
+        outcome: Outcome,
+        now: float,
+    ) -> None:
+        first = batch.settle(_partial(work, outcome, now))
+        if batch.pending <= 0:
+            self._flush(batch, now)
+        elif first:
+            self.timers.at(now + TICK, self._flush, batch)
+
+    def _flush(self, batch: Batch, now: float) -> None:
+        if batch.pending <= 0:
+            self._batches.pop((batch.sender, batch.query), None)
+        if batch.settled:
+            self.send(batch.sender, partials_of(batch, self._loads(now)), now)
+
+    def _loads(self, now: float) -> 'LoadOf':
+        return LoadOf(self.accounts, now)
+
+    def _settle_order(
+        self,
+        route: Route,
+        work: Work,
+        outcome: Outcome,
+        now: float,
+    ) -> None:
+        refused = outcome.ran == 'no'
+        known = ORDER_RESULTS.get(outcome.status, 'unknown')
+        reply = outcome.reply
+        result = OrderResult(
+            kind='order_result',
+            order_key=route.order_key,
+            attempt=work.attempt,
+            outcome='refused' if refused else known,  # type: ignore[typeddict-item]
+            reason=outcome.status,
+            reply='' if reply is None else reply.reply,
+        )
+        self.orders.end(work.attempt, result)
+        self.send(route.sender, result, now)
+
+
+class LoadOf:
+    """The loads of targets at one time."""
+
+    def __init__(self, accounts: Mapping[str, Account], now: float) -> None:
+        self.accounts = accounts
+        self.now = now
+
+    def __call__(self, target: str) -> list[Load]:
+        """Return the load of a target; nothing for an unknown one."""
+        account = self.accounts.get(target)
+        return [] if account is None else [account.load(self.now)]
+
+
+def _partial(work: Work, outcome: Outcome, now: float) -> Partial:
+    reply = outcome.reply
+    return Partial(
+        attempt=work.attempt,
+        shard=work.subject,
+        target=work.target,
+        outcome=outcome.status,  # type: ignore[typeddict-item]
+        ran=outcome.ran,  # type: ignore[typeddict-item]
+        layout=0 if reply is None else reply.layout,
+        version=0 if reply is None else reply.version,
+        rows=[] if reply is None else reply.rows,  # type: ignore[typeddict-item]
+        took_ms=(now - work.since) * MS_PER_S,
+    )
--- /dev/null
+++ b/rosemaryweir/targets/service.py
@@ -0,0 +1,361 @@
+"""The part of a leaf that owns targets."""
+
+from collections.abc import Callable, Iterable, Mapping
+from random import Random
+from typing import Any
+
+from rosemaryweir.node.action import (
+    Action,
+    ListPlatform,
+    ProbeTarget,
+)
+from rosemaryweir.node.event import (
+    ConnectionClosed,
+    ConnectionFailed,
+    ConnectionOpened,
+    PeerMessage,
+    PlatformList,
+    ShutdownAsked,
+    TargetHealth,
+    TargetReply,
+)
+from rosemaryweir.node.part import Part, handles, part_of
+from rosemaryweir.node.state import NodeState
+from rosemaryweir.targets.account import Account
+from rosemaryweir.targets.dispatcher import Dispatcher, Outcome
+from rosemaryweir.targets.fleet import Fleet
+from rosemaryweir.targets.gate import Gate
+from rosemaryweir.targets.handover import Handover
+from rosemaryweir.targets.leaving import Exclusions
+from rosemaryweir.targets.outbox import Outbox
+from rosemaryweir.targets.releases import Releases
+from rosemaryweir.targets.results import Route
+from rosemaryweir.targets.timers import Timers
+from rosemaryweir.targets.work import MAX_WORK, Work
+
+__all__ = ['TargetService']
+
+MS_PER_S = 1000.0
+#: Time between looks at lease, releases and withdrawn targets, in s.
+TICK = 0.1
+#: Time between two probes of a target, and two looks at the platform's list.
+PROBE_EVERY = 1.0
+PROBE_WITHIN = 0.5
+LIST_EVERY = 2.0
+#: Longest wait at shutdown for the views to leave this VM out, in s.
+LEAVE_WITHIN = 5.0
+
+
+@part_of('leaf')
+class TargetService(Part):
+    """Runs attempts at the targets that this leaf owns.
+
+    Notes
+    -----
+    Every handler first follows configuration and views, then changes the
+    accounts, and last collects the actions that this caused.
+    """
+
+    def __init__(self, state: NodeState, rng: Random) -> None:
+        super().__init__(state, rng)
+        self.timers = Timers()
+        self.exclusions = Exclusions()
+        self.releases = Releases()
+        self.handover = Handover(state.uid.vm, float('inf'))
+        self.fleet = Fleet(state, self.handover, self.exclusions)
+        self.gate = Gate(state, self.exclusions, self.handover)
+        self.outbox = Outbox(state, self.timers, self.fleet.accounts)
+        self.dispatcher = Dispatcher(
+            self.gate,
+            self.timers,
+            self.outbox.settle,
+        )
+        self._leaving_since = float('inf')
+
+    def next_wake(self) -> float | None:
+        """Return the time of the next timer."""
+        due = self.timers.next_due()
+        return 0.0 if due is None else due
+
+    def wake(self, now: float) -> Iterable[Action]:
+        """Run the timers that are due."""
+        self._follow(now)
+        for handler, subject in self.timers.due(now):
+            handler(subject, now)
+        return self._collect()
+
+    @handles(PeerMessage, 'sub_query')
+    def sub_query(self, event: PeerMessage, now: float) -> Iterable[Action]:
+        """Run the attempts of a query."""
+        self._follow(now)
+        message = event.message
+        pieces = message['pieces']
+        remaining = message['remaining_ms'] / MS_PER_S
+        deadline = now + min(remaining, MAX_WORK)
+        batch = self.outbox.batch(event.sender, message['query'], deadline)
+        batch.pending += len(pieces)
+        for piece in pieces:
+            body = {
+                'shard': piece['shard'],
+                'layout': message['layout'],
+                'version': message['version'],
+                'text': message['text'],
+            }
+            work = Work(
+                'query',
+                piece['attempt'],
+                piece['target'],
+                piece['shard'],
+                body,
+                now,
+                deadline,
+                batch,
+            )
+            self._submit(work, now)
+        return self._collect()
+
+    @handles(PeerMessage, 'cancel_query')
+    def cancel_query(self, event: PeerMessage, now: float) -> Iterable[Action]:
+        """Drop attempts."""
+        self._follow(now)
+        for attempt in event.message['attempts']:
+            work = self.dispatcher.works.get(attempt)
+            if work is not None and work.kind == 'query' and work.batch:
+                account = self.fleet.accounts[work.target]
+                self.dispatcher.cancel(account, work, now)
+        return self._collect()
+
+    @handles(PeerMessage, 'order_send')
+    def order_send(self, event: PeerMessage, now: float) -> Iterable[Action]:
+        """Send an order, at most once."""
+        self._follow(now)
+        message = event.message
+        attempt = message['attempt']
+        remaining = message['remaining_ms'] / MS_PER_S
+        deadline = now + min(remaining, MAX_WORK)
+        if self.outbox.orders.begin(attempt, deadline, now):
+            body = {
+                'order_key': message['order_key'],
+                'body': message['body'],
+            }
+            work = Work(
+                'order',
+                attempt,
+                message['target'],
+                message['order_key'],
+                body,
+                now,
+                deadline,
+                Route(event.sender, message['order_key']),
+            )
+            self._submit(work, now)
+        else:
+            result = self.outbox.orders.result(attempt)
+            if result is not None:
+                self.outbox.send(event.sender, result, now)
+        return self._collect()
+
+    @handles(PeerMessage, 'grant')
+    def granted(self, event: PeerMessage, now: float) -> Iterable[Action]:
+        """Look at the lease that the agent's client has taken."""
+        self.handover.observe(self.state.lease.until, now)
+        return ()
+
+    @handles(PeerMessage, 'viewed')
+    def viewed(self, event: PeerMessage, now: float) -> Iterable[Action]:
+        """Adopt views, and learn since when targets may be taken over."""
+        self._follow(now)
+        told = {view['domain']: view for view in event.message['views']}
+        for domain, wait in event.message['takeover'].items():
+            # A view left out is one that this process has told it has.
+            view = told.get(domain, self.handover.views.get(domain))
+            if view is not None:
+                self.handover.lapse(view, wait / MS_PER_S, now)
+        return self._collect()
+
+    @handles(PeerMessage, 'released')
+    def released(self, event: PeerMessage, now: float) -> Iterable[Action]:
+        """Take a release by a previous owner."""
+        self._follow(now)
+        message = event.message
+        self.handover.released(
+            message['domain'],
+            message['view'],
+            message['targets'],
+            now,
+        )
+        return self._collect()
+
+    @handles(ConnectionOpened)
+    def opened(self, event: ConnectionOpened, now: float) -> Iterable[Action]:
+        """Use a new connection."""
+        return self._on_conn(event.target, self.dispatcher.opened, event, now)
+
+    @handles(ConnectionFailed)
+    def failed(self, event: ConnectionFailed, now: float) -> Iterable[Action]:
+        """Try again later."""
+        return self._on_conn(event.target, self.dispatcher.failed, event, now)
+
+    @handles(ConnectionClosed)
+    def closed(self, event: ConnectionClosed, now: float) -> Iterable[Action]:
+        """Account for what was in flight; look for a pattern."""
+        account = self.fleet.accounts.get(event.target)
+        in_use = account is not None and self.fleet.in_use(
+            account,
+            event.conn,
+            now,
+        )
+        actions = self._on_conn(
+            event.target,
+            self.dispatcher.gone,
+            event,
+            now,
+        )
+        if account is not None and in_use:
+            self.fleet.closed_in_use(account, now)
+        return [*actions, *self._collect()]
+
+    @handles(TargetReply)
+    def replied(self, event: TargetReply, now: float) -> Iterable[Action]:
+        """Pass on a reply to who asked; send what waits."""
+        self._follow(now)
+        account = self.fleet.accounts.get(event.target)
+        if account is None:
+            return ()
+        answered = self.dispatcher.take(account, event, now)
+        if answered:
+            self.fleet.met(event.target, event.incarnation)
+            if event.status == 'draining':
+                self.fleet.exclude(event.target, 'draining')
+            self.dispatcher.pump(account, now)
+        return self._collect()
+
+    @handles(TargetHealth)
+    def health(self, event: TargetHealth, now: float) -> Iterable[Action]:
+        """Believe a target that it is leaving, or that it restarted."""
+        self._follow(now)
+        account = self.fleet.accounts.get(event.target)
+        if account is None:
+            return ()
+        if event.state != 'unreachable':
+            account.meet(event.incarnation)
+            self.fleet.met(event.target, event.incarnation)
+        if event.state == 'draining':
+            self.fleet.exclude(event.target, 'health')
+        self.dispatcher.pump(account, now)
+        return self._collect()
+
+    @handles(PlatformList)
+    def listed(self, event: PlatformList, now: float) -> Iterable[Action]:
+        """Give no work to targets that the platform says are leaving."""
+        self._follow(now)
+        self.fleet.listed(event.leaving)
+        return self._collect()
+
+    @handles(ShutdownAsked)
+    def shut_down(self, event: ShutdownAsked, now: float) -> Iterable[Action]:
+        """Serve until the views leave this VM out, but not for long."""
+        self._leaving_since = min(now, self._leaving_since)
+        return ()
+
+    def busy(self, now: float) -> bool:
+        """Return whether targets are owned, in use, or to be released."""
+        if not self.gate.stopped and self.handover.owned():
+            return True
+        accounts = self.fleet.accounts.values()
+        if any(not account.idle for account in accounts):
+            return True
+        return bool(self.handover.giving or self.releases)
+
+    def status(self, now: float) -> Mapping[str, Any]:
+        """Return the targets in use and those excluded."""
+        return {
+            'targets': [
+                account.load(now) for account in self.fleet.accounts.values()
+            ],
+            'excluded': {
+                name: self.exclusions.reason(name)
+                for name in self.exclusions.names()
+            },
+            'owned': len(tuple(self.handover.owned())),
+            'releasing': len(self.handover.giving),
+        }
+
+    def _on_conn(
+        self,
+        target: str,
+        take: Callable[[Account, int, float], None],
+        event: ConnectionOpened | ConnectionFailed | ConnectionClosed,
+        now: float,
+    ) -> Iterable[Action]:
+        self._follow(now)
+        account = self.fleet.accounts.get(target)
+        if account is not None:
+            take(account, event.conn, now)
+        return self._collect()
+
+    def _submit(self, work: Work, now: float) -> None:
+        account = self.fleet.account(work.target)
+        if account is None:
+            self.outbox.settle(work, Outcome('out', 'no'), now)
+        elif work.attempt in self.dispatcher.works:
+            self.outbox.settle(work, Outcome('failed', 'no'), now)
+        else:
+            self.dispatcher.submit(account, work, now)
+
+    def _follow(self, now: float) -> None:
+        if self.handover.born > now:
+            self.handover.born = now
+            self._tick(None, now)
+            self._list_platform(None, now)
+        adopted = self.fleet.follow(now)
+        if adopted:
+            self.outbox.members_changed()
+        for view in adopted:
+            self.releases.superseded(view['domain'])
+
+    def _collect(self) -> list[Action]:
+        collected: list[Action] = []
+        for source in (self.dispatcher, self.outbox, self.fleet):
+            collected.extend(source.actions)
+            source.actions.clear()
+        return collected
+
+    def _tick(self, subject: Any, now: float) -> None:
+        self.timers.at(now + TICK, self._tick, None)
+        self.handover.observe(self.state.lease.until, now)
+        if now - self._leaving_since >= LEAVE_WITHIN:
+            self.gate.stopped = True
+        for account in tuple(self.fleet.accounts.values()):
+            self._look_after(account, now)
+        self._release(now)
+
+    def _look_after(self, account: Account, now: float) -> None:
+        owned = account.name in self.handover.owned()
+        refusal = self.gate.refusal(account.name, now)
+        if refusal:
+            self.dispatcher.refuse_waiting(account, refusal, now)
+        if refusal == 'out' or not owned:
+            self._close_idle(account, now)
+        if owned and account.probe_at <= now:
+            account.probe_at = now + PROBE_EVERY * (1 + self.rng.random())
+            self.dispatcher.actions.append(
+                ProbeTarget(
+                    account.name,
+                    account.address,
+                    now + PROBE_WITHIN,
+                ),
+            )
+
+    def _close_idle(self, account: Account, now: float) -> None:
+        for conn in account.pool.stale(now):
+            self.dispatcher.close(account, conn.number, 'unused', now)
+
+    def _release(self, now: float) -> None:
+        sendings = self.releases.add(self.fleet.drained(now), now)
+        for sending in (*sendings, *self.releases.again(now)):
+            self.outbox.send(f'{sending.to}/leaf', sending.message, now)
+
+    def _list_platform(self, subject: Any, now: float) -> None:
+        self.timers.at(now + LIST_EVERY, self._list_platform, None)
+        self.dispatcher.actions.append(ListPlatform())
--- /dev/null
+++ b/rosemaryweir/targets/work.py
@@ -0,0 +1,72 @@
+"""One attempt at a target, as a leaf keeps it."""
+
+from typing import Any
+
+__all__ = ['MAX_WORK', 'Work']
+
+#: No attempt is given a target for longer, in s; a new owner that can't know
+#: what the previous one left behind waits for so long.
+MAX_WORK = 2.0
+
+
+class Work:
+    """An attempt: what to send, until when, and whom to tell.
+
+    Attributes
+    ----------
+    attempt : str
+        Identifier that the reply must echo.
+    batch : object
+        Whom to tell; None once the result has been told.
+    since, sent_at : float
+        When it arrived; when it was sent, or 0.
+    conn : int
+        Connection that it was sent on; 0 while it waits.
+    overtaken : int
+        Requests sent later that the target has answered.
+    verify_at : float
+        When the answer to its cancellation is due; 0 while none was asked.
+    done : bool
+        Whether it holds nothing any more.
+    """
+
+    __slots__ = (
+        'attempt',
+        'batch',
+        'body',
+        'conn',
+        'deadline',
+        'done',
+        'kind',
+        'overtaken',
+        'sent_at',
+        'since',
+        'subject',
+        'target',
+        'verify_at',
+    )
+
+    def __init__(
+        self,
+        kind: str,
+        attempt: str,
+        target: str,
+        subject: str,
+        body: Any,
+        since: float,
+        deadline: float,
+        batch: Any,
+    ) -> None:
+        self.kind = kind
+        self.attempt = attempt
+        self.target = target
+        self.subject = subject
+        self.body = body
+        self.since = since
+        self.deadline = deadline
+        self.batch = batch
+        self.sent_at = 0.0
+        self.conn = 0
+        self.overtaken = 0
+        self.done = False
+        self.verify_at = 0.0
