Queries of the entry: pin, scatter, merge, hedge, retry, admission

Cause: the entry had no deciders for queries. Change: QueryService over small pure modules: version pinned from what targets were seen to serve, partials merged by version, replica by the lesser of two costs, hedges and retries under token budgets, tied cancellation, silent and restarted leaves, ejection that leaves each shard a target, admission with a weighted fair queue and an adaptive limit, refusals that say whether work ran. A query left with attempts in flight says `unknown`, not `not_run`.

--- /dev/null
+++ b/rosemaryweir/query/budget.py
@@ -0,0 +1,40 @@
+"""Token budget for extra attempts, earned by the attempts that are needed."""
+
+__all__ = ['TokenBudget']
+
+
+class TokenBudget:
+    """Bounds extra attempts to a share of the attempts that earn them.
+
+    Parameters
+    ----------
+    share : float
+        Tokens earned by each needed attempt or success.
+    burst : float
+        Most tokens that are kept; also the number at the start.
+
+    Examples
+    --------
+    >>> budget = TokenBudget(share=0.5, burst=1)
+    >>> budget.spend(), budget.spend()
+    (True, False)
+    >>> budget.earn(2)
+    >>> budget.spend()
+    True
+    """
+
+    def __init__(self, share: float, burst: float) -> None:
+        self.share = share
+        self.burst = burst
+        self.tokens = burst
+
+    def earn(self, count: int = 1) -> None:
+        """Count attempts that earn tokens."""
+        self.tokens = min(self.burst, self.tokens + self.share * count)
+
+    def spend(self) -> bool:
+        """Take one token; return whether there was one."""
+        if self.tokens < 1:
+            return False
+        self.tokens -= 1
+        return True
--- /dev/null
+++ b/rosemaryweir/query/limit.py
@@ -0,0 +1,85 @@
+"""Adaptive limit on the queries of a service that run at once."""
+
+__all__ = ['ConcurrencyLimit']
+
+FIRST_LIMIT = 32
+LEAST = 2
+MOST = 4096
+#: Factor on the limit when the targets are congested.
+DECREASE = 0.9
+#: Share of the limit that must be in use for it to grow.
+IN_USE = 0.8
+#: A query that takes this share of its time means congestion.
+SLOW_SHARE = 0.4
+#: Weight of a new latency in the running mean.
+NEW_SHARE = 0.1
+FIRST_LATENCY_S = 0.05
+
+
+class ConcurrencyLimit:
+    """Queries in flight, and how many may be.
+
+    Additive increase while it is used and queries end in good time,
+    multiplicative decrease at most once for each latency when they are slow or
+    refused.
+
+    Examples
+    --------
+    >>> limit = ConcurrencyLimit()
+    >>> limit.start()
+    >>> limit.end(took=0.9, bulk=0.8, given=1.0, refused=False, now=5.0)
+    >>> limit.in_flight, limit.most < 32
+    (0, True)
+    """
+
+    def __init__(self) -> None:
+        self.in_flight = 0
+        self.most = float(FIRST_LIMIT)
+        self.latency = FIRST_LATENCY_S
+        self._decreased = 0.0
+
+    def open(self) -> bool:
+        """Return whether one more query may start."""
+        return self.in_flight < int(self.most)
+
+    def start(self) -> None:
+        """Count a query that starts."""
+        self.in_flight += 1
+
+    def drop(self) -> None:
+        """Count a query that ended without telling anything."""
+        self.in_flight -= 1
+
+    def end(
+        self,
+        took: float,
+        bulk: float,
+        given: float,
+        refused: bool,
+        now: float,
+    ) -> None:
+        """Count a query that ended.
+
+        Parameters
+        ----------
+        took : float
+            Time that it took, in seconds.
+        bulk : float
+            Time that most of its shards took: a shard that nothing serves
+            says nothing of the load.
+        given : float
+            Time that it had.
+        refused : bool
+            Whether targets refused or cut pieces of it for lack of capacity.
+        now : float
+            Present time.
+        """
+        used = self.in_flight >= IN_USE * self.most
+        self.in_flight -= 1
+        self.latency += (took - self.latency) * NEW_SHARE
+        if refused or bulk > SLOW_SHARE * given:
+            if now - self._decreased > self.latency:
+                self._decreased = now
+                self.most = max(LEAST, self.most * DECREASE)
+        elif used:
+            self.most = min(MOST, self.most + 1 / self.most)
--- /dev/null
+++ b/rosemaryweir/query/runner.py
@@ -0,0 +1,310 @@
+"""Run queries: scatter, partials, hedges, retries, change of the pin."""
+
+from random import Random
+
+from rosemaryweir.node.state import NodeState
+from rosemaryweir.query.attempt import Attempt, Attempts
+from rosemaryweir.query.pin import coverable
+from rosemaryweir.query.plan import Fleet, Plan
+from rosemaryweir.query.replica import Replica, choose, choose_other
+from rosemaryweir.query.retry import backoff, elsewhere
+from rosemaryweir.query.running import NEVER, Running, Wanted
+from rosemaryweir.schema.generated.query import Partial
+
+__all__ = ['Runner']
+
+#: Most attempts at one shard that may be in flight at once.
+MOST_OPEN = 3
+#: A query is hedged when at most this share of its shards is missing.
+HEDGED_SHARE = 0.15
+#: That many shards are hedged in any case.
+HEDGED_LEAST = 2
+#: After this multiple of the delay it is hedged whatever is missing.
+PATIENCE_FOLD = 2
+#: Later hedges of a query follow after this share of the delay.
+NEXT_DELAY_SHARE = 0.5
+#: A lost attempt counts as this multiple of the usual latency.
+LOST_FOLD = 3
+#: Outcomes that say that a target lacks capacity.
+REFUSED = frozenset(('shed', 'timeout'))
+
+
+class Runner:
+    """Takes running queries through their events.
+
+    Parameters
+    ----------
+    state : NodeState
+        Configuration, views and lease in force.
+    fleet : Fleet
+        What is known of targets and leaves.
+    attempts : Attempts
+        Attempts in flight.
+    rng : random.Random
+        The source of chance.
+    """
+
+    def __init__(
+        self,
+        state: NodeState,
+        fleet: Fleet,
+        attempts: Attempts,
+        rng: Random,
+    ) -> None:
+        self.state = state
+        self.fleet = fleet
+        self.attempts = attempts
+        self.rng = rng
+        self.first = 0
+        self.extra = 0
+
+    def start(self, query: Running, now: float) -> None:
+        """Pin the query and send a piece for each of its shards."""
+        pin = query.lane.pin(query.scatter.layout)
+        query.version = pin.choose(query.plan.sights, now)
+        replicas = query.plan.replicas
+        key = query.key
+        for shard, wanted in query.wanted.items():
+            replica = choose(replicas[shard], key, self.rng, now)
+            if replica is None:
+                self._postpone(wanted, now)
+            else:
+                self._send(query, wanted, replica, now)
+        count = len(query.wanted)
+        self.first += count
+        query.hedging.budget.earn(count)
+        query.hedge_at = now + query.hedging.delay(now)
+
+    def take(
+        self,
+        query: Running,
+        attempt: Attempt,
+        piece: Partial,
+        now: float,
+    ) -> None:
+        """Take the partial that answers an attempt."""
+        wanted = query.wanted.get(attempt.shard)
+        if wanted is not None:
+            wanted.open.remove(attempt)
+        if piece['ran'] != 'no':
+            query.ran = True
+        if piece['outcome'] == 'ok':
+            self._served(query, attempt, piece, now)
+        else:
+            self._refused(query, attempt, piece, now)
+            self.again(query, attempt, now)
+
+    def again(self, query: Running, attempt: Attempt, now: float) -> None:
+        """Try a shard again after an attempt that did not cover it."""
+        wanted = query.wanted.get(attempt.shard)
+        if wanted is not None and not wanted.open:
+            self._retry(query, wanted, now)
+
+    def lost(self, query: Running, attempt: Attempt, now: float) -> None:
+        """Take that the leaf of an attempt has lost it."""
+        wanted = query.wanted.get(attempt.shard)
+        if wanted is not None:
+            wanted.open.remove(attempt)
+            self.again(query, attempt, now)
+
+    def doubt(self, query: Running, attempt: Attempt, now: float) -> None:
+        """Ask another replica beside an attempt whose leaf is silent."""
+        wanted = query.wanted.get(attempt.shard)
+        if wanted is not None and wanted.open == [attempt]:
+            self._retry(query, wanted, now)
+
+    def step(self, query: Running, now: float) -> None:
+        """Do what is due: hedges and retries."""
+        if now >= query.hedge_at:
+            self._hedge(query, now)
+        for wanted in tuple(query.wanted.values()):
+            if wanted.retry_at <= now and wanted.shard in query.wanted:
+                wanted.retry_at = NEVER
+                self._retry(query, wanted, now)
+
+    def finish(self, query: Running, now: float) -> None:
+        """Cancel what is still in flight."""
+        for wanted in query.wanted.values():
+            self._cancel(query, wanted, now)
+
+    def _served(
+        self,
+        query: Running,
+        attempt: Attempt,
+        piece: Partial,
+        now: float,
+    ) -> None:
+        version = piece['version']
+        key = (piece['layout'], version)
+        sight = attempt.replica.sight
+        took = now - attempt.sent
+        sight.took(took, now)
+        query.hedging.took(took, now)
+        query.lane.retries.earn()
+        if sight.serves(key):
+            query.lane.pin(query.scatter.layout).stale = True
+        query.merge.add(attempt.shard, *key, piece['rows'])
+        if not query.version:
+            self._learn(query, attempt.shard, now)
+        elif version == query.version and key[0] == query.scatter.layout:
+            self._covered(query, attempt.shard, now)
+        else:
+            self.again(query, attempt, now)
+
+    def _covered(self, query: Running, shard: str, now: float) -> None:
+        wanted = query.cover(shard, now)
+        if wanted is not None and wanted.open:
+            self._cancel(query, wanted, now)
+
+    def _refused(
+        self,
+        query: Running,
+        attempt: Attempt,
+        piece: Partial,
+        now: float,
+    ) -> None:
+        outcome = piece['outcome']
+        sight = attempt.replica.sight
+        if outcome == 'wrong_version':
+            asked = (query.scatter.layout, attempt.version)
+            sight.refuses(asked, (piece['layout'], piece['version']), now)
+            query.lane.pin(query.scatter.layout).stale = True
+        elif elsewhere(outcome):
+            took = now - attempt.sent
+            sight.took(max(took, LOST_FOLD * sight.latency), now)
+        if outcome in REFUSED:
+            query.refused += 1
+
+    def _learn(self, query: Running, shard: str, now: float) -> None:
+        """Pin a query once each of its shards has answered."""
+        query.unheard.discard(shard)
+        if not query.unheard:
+            self._settle(query, now)
+
+    def _settle(self, query: Running, now: float) -> None:
+        """Pin a query that was not, at the version that covers most."""
+        pin = query.lane.pin(query.scatter.layout)
+        seen = query.merge.best(0)
+        self._change(query, pin.best(query.plan.sights) or seen, now)
+
+    def _change(self, query: Running, version: int, now: float) -> None:
+        if query.version:
+            for wanted in query.wanted.values():
+                self._cancel(query, wanted, now)
+        query.repin(version)
+        for shard in query.plan.shards:
+            if query.merge.has(shard, version):
+                self._covered(query, shard, now)
+        for wanted in tuple(query.wanted.values()):
+            if not wanted.open:
+                self._retry(query, wanted, now)
+
+    def _retry(self, query: Running, wanted: Wanted, now: float) -> None:
+        if self._waits(query, wanted):
+            return
+        replica = None
+        if self.state.may_start(now):
+            replica = self._other(query, wanted, now)
+        if replica is None and self._better(query, now):
+            return
+        if replica is None or not query.lane.retries.spend():
+            self._postpone(wanted, now)
+        else:
+            self.extra += 1
+            self._send(query, wanted, replica, now)
+
+    def _better(self, query: Running, now: float) -> bool:
+        """Change the pin, once, to a version that covers more."""
+        if query.repinned or not query.version:
+            return False
+        pin = query.lane.pin(query.scatter.layout)
+        version = pin.best(query.plan.sights)
+        left = query.asked.deadlines.answer - now
+        if version == query.version or left < query.hedging.usual():
+            return False
+        sights = query.plan.sights
+        layout = query.scatter.layout
+        hopeful = coverable(sights, layout, query.version)
+        if coverable(sights, layout, version) <= max(
+            hopeful,
+            query.merge.covered(query.version),
+        ):
+            return False
+        query.repinned = True
+        self._change(query, version, now)
+        return True
+
+    def _other(
+        self,
+        query: Running,
+        wanted: Wanted,
+        now: float,
+    ) -> Replica | None:
+        replicas = self.plan(query).replicas[wanted.shard]
+        return choose_other(replicas, query.key, wanted.tried, now)
+
+    def plan(self, query: Running) -> Plan:
+        """Return the plan of a query as it is now."""
+        return self.fleet.plan(query.scatter.service, query.plan.service)
+
+    def _postpone(self, wanted: Wanted, now: float) -> None:
+        wanted.retry_at = now + backoff(wanted.rounds, self.rng)
+        wanted.rounds += 1
+        wanted.tried = [attempt.replica for attempt in wanted.open]
+
+    def _hedge(self, query: Running, now: float) -> None:
+        delay = query.hedging.delay(now)
+        query.hedge_at = now + delay * NEXT_DELAY_SHARE
+        if not query.version and len(query.unheard) < len(query.plan.shards):
+            self._settle(query, now)
+        if query.lane.admission.pressed or not self.state.may_start(now):
+            return
+        late = [
+            wanted
+            for wanted in query.wanted.values()
+            if wanted.open
+            and len(wanted.open) < MOST_OPEN
+            and now - wanted.open[-1].sent >= delay * NEXT_DELAY_SHARE
+            and not self._waits(query, wanted)
+        ]
+        most = max(HEDGED_LEAST, HEDGED_SHARE * len(query.plan.shards))
+        waited = now - query.started
+        if len(late) > most and waited < PATIENCE_FOLD * delay:
+            return
+        for wanted in late:
+            self._hedge_one(query, wanted, now)
+
+    def _waits(self, query: Running, wanted: Wanted) -> bool:
+        """Return whether a shard has answered and waits for the pin."""
+        return not query.version and wanted.shard not in query.unheard
+
+    def _hedge_one(self, query: Running, wanted: Wanted, now: float) -> None:
+        replica = self._other(query, wanted, now)
+        if replica is not None and query.hedging.budget.spend():
+            self.extra += 1
+            self._send(query, wanted, replica, now)
+
+    def _send(
+        self,
+        query: Running,
+        wanted: Wanted,
+        replica: Replica,
+        now: float,
+    ) -> None:
+        attempt = self.attempts.start(
+            query.uid,
+            wanted.shard,
+            replica,
+            query.version,
+            now,
+        )
+        wanted.begin(attempt)
+        query.outbox.send(attempt)
+
+    def _cancel(self, query: Running, wanted: Wanted, now: float) -> None:
+        for attempt in wanted.open:
+            query.ran = True
+            self.attempts.settle(attempt)
+            attempt.replica.sight.at_least(now - attempt.sent, now)
+            query.outbox.cancel(attempt)
+        wanted.open.clear()
--- /dev/null
+++ b/rosemaryweir/query/sighting.py
@@ -0,0 +1,141 @@
+"""What this entry has seen of one target: load, latency, index versions."""
+
+from rosemaryweir.schema.generated.query import Load
+
+__all__ = ['Sighting', 'VersionKey']
+
+#: Layout and index version.
+VersionKey = tuple[int, int]
+
+#: Weight of a new latency in the running mean.
+NEW_SHARE = 0.15
+#: Latency assumed of a target that has not answered yet, in seconds.
+UNKNOWN_LATENCY_S = 0.01
+#: How long a refusal of a version that may still arrive holds, in seconds.
+REFUSAL_S = 1
+#: Versions that are remembered for a target.
+KEPT_VERSIONS = 6
+
+
+class Sighting:
+    """One target as seen from this entry.
+
+    Attributes
+    ----------
+    own : int
+        Attempts of this entry in flight there.
+    reported : int
+        Requests in flight and queued there, as its leaf last said.
+    limit : int
+        Requests that it may run at once, as its leaf last said.
+    latency : float
+        Running mean of the latency, in seconds.
+    samples : int
+        Latencies in the mean.
+    seen : float
+        Time of the last latency.
+    weight : float
+        Factor on its score; above 1 when it is ejected.
+    current : VersionKey
+        What it served last.
+    """
+
+    __slots__ = (
+        'current',
+        'latency',
+        'limit',
+        'own',
+        'refused',
+        'reported',
+        'reported_at',
+        'samples',
+        'seen',
+        'served',
+        'target',
+        'trial',
+        'weight',
+    )
+
+    def __init__(self, target: str, limit: int) -> None:
+        self.target = target
+        self.limit = limit
+        self.own = 0
+        self.reported = 0
+        self.reported_at = 0.0
+        self.latency = UNKNOWN_LATENCY_S
+        self.samples = 0
+        self.seen = 0.0
+        self.weight = 1.0
+        self.trial = False
+        self.current: VersionKey = (0, 0)
+        self.served: set[VersionKey] = set()
+        self.refused: dict[VersionKey, float] = {}
+
+    @property
+    def pending(self) -> int:
+        """Requests that stand before the next one."""
+        return max(self.own, self.reported)
+
+    def took(self, latency: float, now: float) -> None:
+        """Count the latency of an attempt."""
+        self.trial = False
+        self.seen = now
+        self.samples += 1
+        share = max(NEW_SHARE, 1 / self.samples)
+        self.latency += (latency - self.latency) * share
+
+    def at_least(self, latency: float, now: float) -> None:
+        """Count an attempt that was given up after some time."""
+        if latency > self.latency:
+            self.took(latency, now)
+
+    def forget(self, prior: float) -> None:
+        """Forget the latency: the target is tried one attempt at a time."""
+        self.latency = prior
+        self.samples = 0
+        self.weight = 1
+        self.trial = True
+
+    def take_load(self, load: Load, now: float) -> None:
+        """Take what its leaf says of its load."""
+        self.reported = load['in_flight'] + load['queued']
+        self.limit = max(1, load['limit'])
+        self.reported_at = now
+
+    def serves(self, key: VersionKey) -> bool:
+        """Take that it served a version; return whether that is news."""
+        if key == self.current:
+            return False
+        if len(self.served) >= KEPT_VERSIONS:
+            self.served.discard(min(self.served))
+        self.served.add(key)
+        self.refused.pop(key, None)
+        self.current = key
+        return True
+
+    def refuses(self, key: VersionKey, newest: VersionKey, now: float) -> None:
+        """Take that it does not have a version, and what it has instead."""
+        self.served.discard(key)
+        self.current = (0, 0)
+        if len(self.refused) >= KEPT_VERSIONS:
+            self.refused.pop(min(self.refused))
+        self.refused[key] = now
+        if newest != key and newest[1]:
+            self.served.add(newest)
+            self.refused.pop(newest, None)
+
+    def lacks(self, key: VersionKey, now: float) -> bool:
+        """Return whether it is known not to have a version.
+
+        A target that refused a version older than one it has never gets it
+        back; a newer one may arrive at any time.
+        """
+        refused_at = self.refused.get(key)
+        if refused_at is None:
+            return False
+        older = any(served > key for served in self.served)
+        return older or now - refused_at < REFUSAL_S
+
+    def has(self, key: VersionKey) -> bool:
+        """Return whether it was seen to have a version."""
+        return key == self.current or key in self.served
--- /dev/null
+++ b/rosemaryweir/query/straggler.py
@@ -0,0 +1,84 @@
+"""Eject stragglers, never so many that a shard is left without a target."""
+
+from collections.abc import Iterable, Sequence
+from itertools import chain
+from statistics import median
+
+from rosemaryweir.query.sighting import Sighting
+
+__all__ = ['CHECK_INTERVAL_S', 'eject']
+
+#: Interval between checks, in seconds.
+CHECK_INTERVAL_S = 0.25
+#: A straggler is slower than the median by this factor.
+SLOW_FOLD = 4
+#: Latencies that must have been seen of a straggler.
+LEAST_SAMPLES = 4
+#: Share of the targets that may be ejected.
+EJECTED_SHARE = 0.2
+#: Factor on the score of an ejected target: used only if no other is left.
+EJECTED_WEIGHT = 1000
+#: After this time without a latency a target is tried again, in seconds.
+FORGET_S = 5
+#: How long the load that a leaf reported is believed, in seconds.
+LOAD_S = 0.25
+
+
+def eject(shards: Iterable[Sequence[Sighting]], now: float) -> list[str]:
+    """Weigh the targets of a service; return those that are ejected.
+
+    Parameters
+    ----------
+    shards : iterable of sequence of Sighting
+        The targets of each shard.
+    now : float
+        Present time.
+    """
+    groups = [tuple(shard) for shard in shards]
+    sights = {held.target: held for held in chain.from_iterable(groups)}
+    known = [each.latency for each in sights.values() if each.samples]
+    if not known:
+        return []
+    usual = median(known)
+    for seen in sights.values():
+        _refresh(seen, usual, now)
+    slow = [each for each in sights.values() if _slow(each, usual)]
+    slow.sort(key=lambda each: -each.latency)
+    return _capped(slow, groups, int(EJECTED_SHARE * len(sights)))
+
+
+def _slow(seen: Sighting, usual: float) -> bool:
+    return seen.samples >= LEAST_SAMPLES and seen.latency > SLOW_FOLD * usual
+
+
+def _capped(
+    slow: Iterable[Sighting],
+    groups: Sequence[Sequence[Sighting]],
+    most: int,
+) -> list[str]:
+    holds: dict[str, list[Sequence[Sighting]]] = {}
+    for group in groups:
+        for held in group:
+            holds.setdefault(held.target, []).append(group)
+    ejected: list[str] = []
+    for seen in slow:
+        if len(ejected) < most and _spared(seen, holds[seen.target]):
+            seen.weight = EJECTED_WEIGHT
+            ejected.append(seen.target)
+    return ejected
+
+
+def _spared(seen: Sighting, groups: Iterable[Sequence[Sighting]]) -> bool:
+    """Return whether each shard keeps another target without it."""
+    return all(
+        any(other is not seen and other.weight == 1 for other in group)
+        for group in groups
+    )
+
+
+def _refresh(seen: Sighting, usual: float, now: float) -> None:
+    seen.weight = 1
+    if now - seen.reported_at > LOAD_S:
+        seen.reported = 0
+    if seen.samples and now - seen.seen > FORGET_S and not seen.own:
+        seen.forget(usual)
--- /dev/null
+++ b/rosemaryweir/query/tests/test_choice.py
@@ -0,0 +1,137 @@
+"""Choice of version, replica and straggler; budgets of extra attempts."""
+
+from random import Random
+
+from rosemaryweir.query.budget import TokenBudget
+from rosemaryweir.query.hedge import Hedging
+from rosemaryweir.query.liveness import LeafHealth
+from rosemaryweir.query.pin import Pin, best_version
+from rosemaryweir.query.replica import Replica, choose, choose_other
+from rosemaryweir.query.sighting import Sighting
+from rosemaryweir.query.straggler import eject
+
+KEY = (1, 5)
+
+
+def seen_with(target, *versions):
+    sight = Sighting(target, 2)
+    for version in versions:
+        sight.serves((1, version))
+    return sight
+
+
+def replica(number, leaf=None, far=0):
+    name = f't{number}'
+    health = leaf or LeafHealth(f'vm-{number}/leaf')
+    sight = seen_with(name, 5)
+    return Replica(name, f'd{number}', far, sight, health, '127.0.0.1:1')
+
+
+def test_version_that_most_shards_can_serve_wins():
+    shards = [[seen_with('a', 5, 6)], [seen_with('b', 5)], [seen_with('c', 6)]]
+    assert best_version(shards, 1, 0) == 6
+    assert best_version(shards[:2], 1, 0) == 5
+    assert best_version(shards, 2, 0) == 0
+
+
+def test_pin_never_goes_back_behind_an_answer():
+    shards = [[seen_with('a', 5, 6)], [seen_with('b', 5)]]
+    assert best_version(shards, 1, 6) == 6
+    assert best_version([*shards, [seen_with('c', 5)]], 1, 6) == 5
+
+
+def test_a_query_learns_new_versions_now_and_then():
+    pin = Pin(1)
+    shards = [[seen_with('a', 5)]]
+    found = [pin.choose(shards, now) for now in (9.0, 9.1, 9.4, 9.6)]
+    assert found == [0, 5, 5, 0]
+
+
+def test_refused_version_comes_back_only_if_it_is_newer():
+    sight = seen_with('a', 5)
+    sight.refuses((1, 6), KEY, 10.0)
+    assert sight.lacks((1, 6), 10.5)
+    assert not sight.lacks((1, 6), 12.0)
+    sight.refuses(KEY, (1, 6), 13.0)
+    assert sight.lacks(KEY, 99.0)
+
+
+def test_slow_near_target_gives_way():
+    near, far = replica(1), replica(2, far=0.002)
+    rng = Random(1)
+    assert choose([near, far], KEY, rng, 0.0) is near
+    near.sight.latency = 0.02
+    assert choose([near, far], KEY, rng, 0.0) is far
+
+
+def test_target_without_the_version_is_ruled_out():
+    lacking, having = replica(1), replica(2)
+    lacking.sight.refuses(KEY, (1, 6), 0.0)
+    having.sight.latency = 3.0
+    assert choose([lacking, having], KEY, Random(1), 0.0) is having
+    assert choose([lacking], KEY, Random(1), 0.0) is None
+
+
+def test_other_attempt_prefers_another_leaf():
+    leaf = LeafHealth('vm/leaf')
+    first, same, other = replica(1, leaf), replica(2, leaf), replica(3)
+    other.sight.latency = 0.02
+    assert choose_other([first, same, other], KEY, [first], 0.0) is other
+    assert choose_other([first], KEY, [first], 0.0) is None
+
+
+def test_silent_leaf_gets_one_trial_at_a_time():
+    one, other = replica(1), replica(2)
+    one.health.sent(1.0)
+    assert not one.health.check(1.05)
+    assert one.health.check(1.2)
+    one.health.tried = 1.2
+    other.sight.latency = 1.0
+    assert choose([one, other], KEY, Random(1), 1.3) is other
+    one.health.heard(0.01, 1.35)
+    assert choose([one, other], KEY, Random(1), 1.4) is one
+
+
+def test_ejection_leaves_each_shard_a_target():
+    sights = [seen_with(f't{number}', 5) for number in range(10)]
+    for sight in sights:
+        for _ in range(5):
+            sight.took(0.1 if sight.target in {'t0', 't1'} else 0.01, 1.0)
+    pairs = list(zip(sights[::2], sights[1::2], strict=True))
+    assert eject(pairs, 1.0) == ['t0']
+    assert sights[1].weight == 1
+
+
+def test_ejection_is_capped():
+    sights = [seen_with(f't{number}', 5) for number in range(10)]
+    for sight in sights:
+        for _ in range(5):
+            sight.took(0.1 if sight in sights[:4] else 0.01, 1.0)
+    assert len(eject([sights], 1.0)) == 2
+
+
+def test_silent_straggler_is_tried_again_alone():
+    sights = [seen_with(f't{number}', 5) for number in range(5)]
+    for sight in sights:
+        sight.took(0.1 if sight is sights[0] else 0.01, 1.0)
+    for sight in sights[1:]:
+        sight.took(0.01, 8.0)
+    eject([sights], 8.0)
+    assert sights[0].trial
+    assert sights[0].latency < 0.02
+
+
+def test_hedge_delay_follows_latency():
+    hedging = Hedging()
+    for number in range(2000):
+        hedging.took(0.01 + (number % 100) / 1000, 1.0)
+    assert 0.09 < hedging.delay(2.0) < 0.12
+
+
+def test_budget_bounds_extra_attempts():
+    budget = TokenBudget(0.05, 10)
+    spent = 0
+    for _ in range(1000):
+        budget.earn()
+        spent += budget.spend()
+    assert spent <= 0.05 * 1000 + 10
