Orders at most once: claim, send once, record

Cause: an order may be retried by its caller at any VM while VMs die, the store loses replies and leases lapse; nothing kept it from running twice. Objects are segments of 8 buckets, sealed at 64 KiB. A retry gets the record, follows a claim without outcome for a bounded time, then `unknown`. A claim that was never sent is released. `retry` in the request lets a caller say that it has tried the key before: then nobody says `not_run` without a look at the record.

--- /dev/null
+++ b/rosemaryweir/orders/answer.py
@@ -0,0 +1,75 @@
+"""Answers and refusals of orders, as callers get them."""
+
+from typing import Literal, NamedTuple
+
+from rosemaryweir.node.action import ReplyCaller
+from rosemaryweir.schema.generated.http import OrderAnswer, Refusal
+
+__all__ = ['Denial', 'OrderOutcome', 'answer_order', 'refuse_order']
+
+HTTP_OK = 200
+#: Wait that a refused caller is told, in ms.
+RETRY_AFTER_MS = 1000
+
+OrderOutcome = Literal['done', 'failed', 'unknown']
+Reason = Literal[
+    'unknown_service',
+    'overloaded',
+    'deadline',
+    'fenced',
+    'store_down',
+    'mismatch',
+    'expired',
+    'no_capacity',
+]
+
+STATUS_OF_REASON: dict[str, int] = {
+    'unknown_service': 404,
+    'overloaded': 429,
+    'deadline': 504,
+    'fenced': 503,
+    'store_down': 503,
+    'mismatch': 409,
+    'expired': 410,
+    'no_capacity': 503,
+}
+TRANSIENT = frozenset(
+    ('overloaded', 'deadline', 'fenced', 'store_down', 'no_capacity'),
+)
+
+
+class Denial(NamedTuple):
+    """Why an order got no outcome, and whether it may have run."""
+
+    reason: Reason
+    ran: Literal['not_run', 'unknown']
+    detail: str
+
+
+def answer_order(
+    req: int,
+    order_key: str,
+    outcome: OrderOutcome,
+    reply: str,
+    recorded: bool,
+) -> ReplyCaller:
+    """Return the answer with an outcome."""
+    answer = OrderAnswer(
+        outcome=outcome,
+        order_key=order_key,
+        reply=reply,
+        recorded=recorded,
+    )
+    return ReplyCaller(req, HTTP_OK, answer)
+
+
+def refuse_order(req: int, denial: Denial) -> ReplyCaller:
+    """Return a refusal."""
+    refusal = Refusal(
+        reason=denial.reason,
+        ran=denial.ran,
+        detail=denial.detail,
+    )
+    if denial.reason in TRANSIENT:
+        refusal['retry_after_ms'] = RETRY_AFTER_MS
+    return ReplyCaller(req, STATUS_OF_REASON[denial.reason], refusal)
--- /dev/null
+++ b/rosemaryweir/orders/book.py
@@ -0,0 +1,58 @@
+"""The orders that a process works on, by key and by time."""
+
+import heapq
+from collections.abc import Iterator
+
+from rosemaryweir.orders.life import Order
+
+__all__ = ['OrderBook']
+
+
+class OrderBook:
+    """Orders by key, with their timers."""
+
+    def __init__(self) -> None:
+        self._orders: dict[str, Order] = {}
+        self._timers: list[tuple[float, str]] = []
+
+    def __len__(self) -> int:
+        """Return the number of orders."""
+        return len(self._orders)
+
+    @property
+    def next_due(self) -> float | None:
+        """When the next timer runs out; it may be out of date."""
+        return self._timers[0][0] if self._timers else None
+
+    def get(self, order_key: str) -> Order | None:
+        """Return the order of a key, or None."""
+        return self._orders.get(order_key)
+
+    def add(self, order: Order) -> None:
+        """Add an order and set its timer."""
+        self._orders[order.spec.order_key] = order
+        self.set_timer(order)
+
+    def drop(self, order: Order) -> None:
+        """End the life of an order here."""
+        order.move('dropped')
+        self._orders.pop(order.spec.order_key)
+
+    def set_timer(self, order: Order) -> None:
+        """Set the timer of an order anew."""
+        heapq.heappush(self._timers, (order.timer, order.spec.order_key))
+
+    def take_due(self, now: float) -> Iterator[Order]:
+        """Yield the orders whose timer has run out."""
+        while self._timers and self._timers[0][0] <= now:
+            _, order_key = heapq.heappop(self._timers)
+            order = self._orders.get(order_key)
+            if order is not None and order.timer <= now:
+                yield order
+
+    def forget_caller(self, req: int) -> None:
+        """Let the order of a caller that hung up go on without it."""
+        for order in self._orders.values():
+            if req in order.waiters:
+                order.waiters.remove(req)
+                return
--- /dev/null
+++ b/rosemaryweir/orders/bucket.py
@@ -0,0 +1,221 @@
+"""The value of a bucket segment: coding, merging of claims, cleaning.
+
+Everything here is a function from one value to the next.  The store applies
+the next value only if the object still has the version that the first was
+read at, so each function may assume that nobody else has written between.
+"""
+
+import base64
+from array import array
+from collections.abc import Iterable
+from typing import Literal, NamedTuple
+
+import msgspec
+
+from rosemaryweir.orders.keys import key_hash
+from rosemaryweir.schema.generated.orders import OrderBucket, OrderRecord
+
+__all__ = [
+    'KEEP_S',
+    'SEAL_BYTES',
+    'Claim',
+    'Merged',
+    'Update',
+    'clean',
+    'clip_reply',
+    'decode_bucket',
+    'empty_bucket',
+    'encode_bucket',
+    'kept_hashes',
+    'merge',
+    'newest_claim',
+]
+
+#: Size from which a segment takes no new keys, in bytes.
+SEAL_BYTES = 65536
+#: Longest reply that is recorded, in bytes of JSON.
+REPLY_BYTES = 1024
+#: How long an outcome can be asked for again, in seconds.
+KEEP_S = 86400.0
+#: Type of the array of 64-bit hashes.
+HASH_CODE = 'Q'
+CUT_MARK = ' [cut]'
+
+RecordState = Literal['claimed', 'done', 'failed', 'unknown', 'released']
+
+
+class Claim(NamedTuple):
+    """An attempt to claim an order key."""
+
+    order_key: str
+    record: OrderRecord
+
+    @property
+    def attempt(self) -> str:
+        """The nonce of the attempt."""
+        return self.record['attempt']
+
+
+class Update(NamedTuple):
+    """What became of a claim: an outcome, or its release."""
+
+    order_key: str
+    attempt: str
+    state: RecordState
+    reply: str = ''
+
+
+class Merged(NamedTuple):
+    """The next value of a segment, and what it means for each claim.
+
+    Parameters
+    ----------
+    bucket : OrderBucket
+        The next value.
+    won : tuple of Claim
+        Claims that hold once the value is written, or already.
+    lost : tuple of (Claim, OrderRecord or None)
+        Claims of keys that another attempt has, with its record; None when
+        the record was dropped.
+    changed : bool
+        Whether the next value differs.
+    """
+
+    bucket: OrderBucket
+    won: tuple[Claim, ...]
+    lost: tuple[tuple[Claim, OrderRecord | None], ...]
+    changed: bool
+
+
+def empty_bucket() -> OrderBucket:
+    """Return the value of a segment that does not exist yet."""
+    return OrderBucket(records={}, expired_before=0, sealed=False, kept='')
+
+
+def encode_bucket(bucket: OrderBucket) -> bytes:
+    """Return the bytes that the store keeps."""
+    return msgspec.json.encode(bucket)
+
+
+def decode_bucket(content: bytes) -> OrderBucket:
+    """Return the value that the store has kept; no bytes are an empty one."""
+    if not content:
+        return empty_bucket()
+    return msgspec.json.decode(content, type=OrderBucket)
+
+
+def kept_hashes(bucket: OrderBucket) -> 'array[int]':
+    """Return the hashes of the keys whose records were dropped."""
+    hashes = array(HASH_CODE)
+    hashes.frombytes(base64.b64decode(bucket['kept']))
+    return hashes
+
+
+def merge(
+    bucket: OrderBucket,
+    claims: Iterable[Claim],
+    updates: Iterable[Update],
+) -> Merged:
+    """Merge updates, then claims, into a segment.
+
+    Parameters
+    ----------
+    bucket : OrderBucket
+        The value as read.
+    claims : iterable of Claim
+        At most one for each key.
+    updates : iterable of Update
+        Each takes effect only on the very attempt that it names, and only
+        while that attempt has no outcome: a recorded outcome never changes.
+
+    Notes
+    -----
+    A claim holds if its key is new, or was released (it never ran), or has
+    this very attempt already: then an earlier write took effect although its
+    reply was lost.
+    """
+    records = dict(bucket['records'])
+    for update in updates:
+        _apply(records, update)
+    gone = frozenset(kept_hashes(bucket))
+    won: list[Claim] = []
+    lost: list[tuple[Claim, OrderRecord | None]] = []
+    for claim in claims:
+        found = records.get(claim.order_key)
+        if found is None and key_hash(claim.order_key) in gone:
+            lost.append((claim, None))
+        elif _free(found, claim):
+            records[claim.order_key] = claim.record
+            won.append(claim)
+        elif found is not None and found['attempt'] == claim.attempt:
+            won.append(claim)
+        else:
+            lost.append((claim, found))
+    changed = records != bucket['records']
+    merged = OrderBucket(
+        records=records,
+        expired_before=bucket['expired_before'],
+        sealed=bucket['sealed'],
+        kept=bucket['kept'],
+    )
+    return Merged(merged, tuple(won), tuple(lost), changed)
+
+
+def clip_reply(reply: str) -> str:
+    """Return the part of a reply that is recorded.
+
+    Examples
+    --------
+    >>> clip_reply('pallet 7')
+    'pallet 7'
+    >>> clip_reply('x' * 5000)[-6:]
+    ' [cut]'
+    """
+    if len(msgspec.json.encode(reply)) <= REPLY_BYTES:
+        return reply
+    widest = len(msgspec.json.encode('\x00')) - 2
+    return reply[: REPLY_BYTES // widest] + CUT_MARK
+
+
+def newest_claim(bucket: OrderBucket) -> float:
+    """Return the wall time of the newest claim of a segment, or 0."""
+    return max(
+        (record['claimed_at'] for record in bucket['records'].values()),
+        default=0.0,
+    )
+
+
+def clean(bucket: OrderBucket, wall: float) -> OrderBucket:
+    """Drop the records of a segment, keeping the hashes of their keys."""
+    hashes = kept_hashes(bucket)
+    hashes.extend(key_hash(order_key) for order_key in bucket['records'])
+    return OrderBucket(
+        records={},
+        expired_before=wall,
+        sealed=True,
+        kept=base64.b64encode(hashes.tobytes()).decode(),
+    )
+
+
+def _apply(records: dict[str, OrderRecord], update: Update) -> None:
+    record = records.get(update.order_key)
+    if record is None or record['attempt'] != update.attempt:
+        return
+    if record['state'] == 'claimed':
+        records[update.order_key] = OrderRecord(
+            attempt=record['attempt'],
+            digest=record['digest'],
+            claimed_at=record['claimed_at'],
+            vm=record['vm'],
+            state=update.state,
+            reply=update.reply,
+        )
+
+
+def _free(found: OrderRecord | None, claim: Claim) -> bool:
+    if found is None:
+        return True
+    if found['attempt'] == claim.attempt:
+        return False
+    released = found['state'] == 'released'
+    return released and found['digest'] == claim.record['digest']
--- /dev/null
+++ b/rosemaryweir/orders/index.py
@@ -0,0 +1,47 @@
+"""Which segment of a bucket has an order key.
+
+A bucket is a chain of segments.  Only the last one takes new keys; a segment
+that has grown large is sealed by the same conditional update that fills it.
+Whoever writes to a segment has seen all earlier ones sealed, so it knows all
+of their keys: no key can be claimed in two segments.
+"""
+
+from rosemaryweir.orders.bucket import kept_hashes
+from rosemaryweir.orders.keys import key_hash
+from rosemaryweir.schema.generated.orders import OrderBucket
+
+__all__ = ['BucketIndex']
+
+
+class BucketIndex:
+    """What this process knows of the segments of one bucket.
+
+    Attributes
+    ----------
+    loaded : bool
+        Whether all segments that there were have been read once.
+    last : int
+        Number of the segment that takes new keys.
+    """
+
+    def __init__(self) -> None:
+        self.loaded = False
+        self.last = 0
+        self._segments: dict[int, int] = {}
+
+    def __len__(self) -> int:
+        """Return the number of known keys."""
+        return len(self._segments)
+
+    def segment_of(self, order_key: str) -> int:
+        """Return the segment that has a key, or would take it."""
+        return self._segments.get(key_hash(order_key), self.last)
+
+    def learn(self, segment: int, bucket: OrderBucket) -> None:
+        """Take in a segment as read or written."""
+        for order_key in bucket['records']:
+            self._segments.setdefault(key_hash(order_key), segment)
+        for known_hash in kept_hashes(bucket):
+            self._segments.setdefault(known_hash, segment)
+        if bucket['sealed'] and segment >= self.last:
+            self.last = segment + 1
--- /dev/null
+++ b/rosemaryweir/orders/keys.py
@@ -0,0 +1,69 @@
+"""Names and digests: where an order key lives, and what it stands for."""
+
+import xxhash
+
+__all__ = [
+    'BUCKETS',
+    'bucket_of',
+    'bucket_prefix',
+    'content_digest',
+    'key_hash',
+    'segment_name',
+    'segment_number',
+]
+
+#: Buckets that order keys are spread over; fixed, as every VM must agree.
+BUCKETS = 8
+
+
+def key_hash(order_key: str) -> int:
+    """Return the 64-bit hash of an order key."""
+    return xxhash.xxh3_64_intdigest(order_key.encode('utf-8', 'replace'))
+
+
+def bucket_of(order_key: str) -> int:
+    """Return the number of the bucket of an order key."""
+    return key_hash(order_key) % BUCKETS
+
+
+def bucket_prefix(bucket: int) -> str:
+    """Return the prefix of the store keys of a bucket.
+
+    Examples
+    --------
+    >>> bucket_prefix(3)
+    'orders/0003/'
+    """
+    return f'orders/{bucket:04d}/'
+
+
+def segment_name(bucket: int, segment: int) -> str:
+    """Return the store key of one segment of a bucket.
+
+    Examples
+    --------
+    >>> segment_name(3, 12)
+    'orders/0003/00000012'
+    """
+    return f'{bucket_prefix(bucket)}{segment:08d}'
+
+
+def segment_number(name: str) -> int:
+    """Return the number of the segment that a store key names.
+
+    Examples
+    --------
+    >>> segment_number('orders/0003/00000012')
+    12
+    """
+    return int(name.rpartition('/')[2])
+
+
+def content_digest(service: str, body: str) -> str:
+    """Return the digest of what an order asks for.
+
+    A key that comes again with another digest is another order under the
+    same key, and is refused.
+    """
+    content = f'{service}\n{body}'
+    return xxhash.xxh3_128_hexdigest(content.encode('utf-8', 'replace'))
--- /dev/null
+++ b/rosemaryweir/orders/life.py
@@ -0,0 +1,130 @@
+"""The life of an order key in one process.
+
+==============  =========================================================
+state           meaning
+==============  =========================================================
+``claiming``    waits until the claim is durable; nothing was sent
+``following``   another attempt has the key and no outcome yet
+``sent``        left for a target once; its outcome is awaited
+``settled``     has an outcome that waits to be recorded
+``dropped``     ended without an outcome of its own
+==============  =========================================================
+
+An order is sent only out of ``claiming``, or anew out of ``sent`` after a
+truthful refusal; out of ``settled`` and ``dropped`` it never moves.
+"""
+
+from typing import NamedTuple
+
+from rosemaryweir.orders.bucket import Claim, RecordState
+from rosemaryweir.schema.generated.orders import OrderRecord
+
+__all__ = ['LATE_S', 'Conclusion', 'Order', 'OrderSpec']
+
+#: How long a late outcome is awaited after the callers' deadline, in seconds.
+LATE_S = 10.0
+
+MOVES = {
+    'claiming': frozenset(('following', 'sent', 'dropped')),
+    'following': frozenset(('following', 'sent', 'dropped')),
+    'sent': frozenset(('sent', 'settled', 'dropped')),
+    'settled': frozenset(('dropped',)),
+    'dropped': frozenset(),
+}
+
+
+class OrderSpec(NamedTuple):
+    """What a caller asks for."""
+
+    order_key: str
+    service: str
+    body: str
+    digest: str
+    domain: str
+    retry: bool
+
+
+class Conclusion(NamedTuple):
+    """The outcome of an order."""
+
+    state: RecordState
+    reply: str = ''
+
+
+class Order:
+    """An order key that this process works on.
+
+    Parameters
+    ----------
+    spec : OrderSpec
+        What is asked.
+    record : OrderRecord
+        The claim that is made for it.
+    deadline : float
+        Time at which its callers are answered.
+
+    Attributes
+    ----------
+    waiters : list of int
+        Requests that wait for the outcome.
+    sends : int
+        How often it left for a target, each but the last refused.
+    """
+
+    def __init__(
+        self,
+        spec: OrderSpec,
+        record: OrderRecord,
+        deadline: float,
+    ) -> None:
+        self.spec = spec
+        self.claim = Claim(spec.order_key, record)
+        self.deadline = deadline
+        self.state = 'claiming'
+        self.waiters: list[int] = []
+        self.sends = 0
+        self.targets: list[str] = []
+        self.polls = 0
+        self.conclusion: Conclusion | None = None
+        self.late_until = deadline + LATE_S
+
+    @property
+    def send_id(self) -> str:
+        """Identifier of the present send."""
+        return f'{self.claim.attempt}/{self.sends}'
+
+    @property
+    def timer(self) -> float:
+        """When something is due without an event."""
+        if self.waiters or self.state != 'sent':
+            return self.deadline
+        return self.late_until
+
+    def move(self, state: str) -> None:
+        """Enter a state.
+
+        Raises
+        ------
+        ValueError
+            If the life of an order has no such move.
+        """
+        if state not in MOVES[self.state]:
+            raise ValueError(f'{self.state} -> {state}')
+        self.state = state
+
+    def note_send(self, target: str) -> None:
+        """Count a send to a target."""
+        self.move('sent')
+        self.sends += 1
+        self.targets.append(target)
+
+    def conclude(self, conclusion: Conclusion) -> None:
+        """Take the outcome; it never changes."""
+        self.move('settled')
+        self.conclusion = conclusion
+
+    def take_waiters(self) -> list[int]:
+        """Return the waiting requests, which wait no longer."""
+        waiters = self.waiters
+        self.waiters = []
+        return waiters
--- /dev/null
+++ b/rosemaryweir/orders/target_choice.py
@@ -0,0 +1,97 @@
+"""Which target an order goes to."""
+
+from collections.abc import Collection
+from random import Random
+from typing import NamedTuple
+
+from rosemaryweir.node.action import SendPeer
+from rosemaryweir.node.state import NodeState
+from rosemaryweir.orders.life import Order
+from rosemaryweir.schema.generated.control import Member
+from rosemaryweir.schema.generated.orders import OrderSend
+from rosemaryweir.targets.ownership import owner
+
+__all__ = ['Route', 'choose_route', 'open_routes', 'send_order']
+
+MILLIS_PER_S = 1000
+
+
+class Route(NamedTuple):
+    """A target, and the member whose leaf owns it."""
+
+    target: str
+    domain: str
+    member: Member
+    view: int
+
+
+def open_routes(state: NodeState, service: str) -> list[Route]:
+    """Return the targets of a service that may get new work."""
+    known = state.service(service)
+    if known is None:
+        return []
+    names = {
+        name for shard in known['shards'].values() for name in shard['targets']
+    }
+    routes = (_route(state, name) for name in sorted(names))
+    return [route for route in routes if route is not None]
+
+
+def choose_route(
+    state: NodeState,
+    service: str,
+    domain: str,
+    tried: Collection[str],
+    rng: Random,
+) -> Route | None:
+    """Return a target for an order, or None.
+
+    Targets of the caller's failure domain go first; one that refused this
+    order is not asked again.
+    """
+    routes = [
+        route
+        for route in open_routes(state, service)
+        if route.target not in tried
+    ]
+    near = [route for route in routes if route.domain == domain]
+    pool = near or routes
+    return rng.choice(pool) if pool else None
+
+
+def send_order(
+    order: Order,
+    route: Route,
+    generation: int,
+    now: float,
+) -> SendPeer:
+    """Return the one message that sends an order to its target's owner."""
+    spec = order.spec
+    message = OrderSend(
+        kind='order_send',
+        order_key=spec.order_key,
+        attempt=order.send_id,
+        service=spec.service,
+        target=route.target,
+        body=spec.body,
+        remaining_ms=(order.deadline - now) * MILLIS_PER_S,
+        generation=generation,
+        view=route.view,
+    )
+    to = f'{route.member["vm"]}/leaf'
+    address = route.member['leaf_peer']
+    return SendPeer(to, address, message, order.deadline)
+
+
+def _route(state: NodeState, name: str) -> Route | None:
+    target = state.target(name)
+    if target is None or not state.target_open(name):
+        return None
+    view = state.views.get(target['domain'])
+    if view is None:
+        return None
+    vm = owner(name, view)
+    member = None if vm is None else state.member(vm)
+    if member is None:
+        return None
+    return Route(name, target['domain'], member, view['version'])
