Command line: check, plan, apply, status, drain, restore, query, order, demo

Cause: operators and newcomers need one program; the demo needs a script that starts the plain processes. Conclusion: not run yet against daemons, which are still to come.

--- /dev/null
+++ b/rosemaryweir/cli/main.py
@@ -0,0 +1,201 @@
+"""The command line: ``rosemaryweir COMMAND``."""
+
+import json
+import pathlib
+import sys
+import time
+import uuid
+from collections.abc import Iterable, Mapping
+from typing import Any, NoReturn
+
+import fire
+from returns.result import Success
+
+from rosemaryweir.cli.client import Answer, call
+from rosemaryweir.cli.demo import Demo
+from rosemaryweir.cli.show import (
+    findings_lines,
+    plan_lines,
+    status_lines,
+)
+from rosemaryweir.exception import InvalidInput
+from rosemaryweir.node.state import CONFIG_FORMAT
+from rosemaryweir.schema.check import checked
+
+__all__ = ['Commands', 'main']
+
+EXIT_INVALID = 2
+EXIT_REFUSED = 1
+ENTRY = '127.0.0.1:12000'
+AGENT = '127.0.0.1:12004'
+OK_BELOW = 400
+WAIT_S = 10.0
+POLL_S = 0.2
+
+
+def _print(lines: Iterable[str]) -> None:
+    for line in lines:
+        print(line)
+
+
+def _give_up(message: str, code: int) -> NoReturn:
+    print(message, file=sys.stderr)
+    sys.exit(code)
+
+
+def _read(path: str, schema_name: str) -> Any:
+    try:
+        return checked(schema_name, pathlib.Path(path).read_bytes())
+    except OSError as exc:
+        _give_up(f'{path}: {exc.strerror}', EXIT_INVALID)
+    except InvalidInput as exc:
+        lines = '\n'.join(findings_lines(exc.findings))
+        _give_up(f'{path}: {len(exc.findings)} findings\n{lines}', EXIT_INVALID)
+
+
+def _ask(
+    address: str,
+    method: str,
+    path: str,
+    body: Mapping[str, Any] | None = None,
+) -> Any:
+    """Return the body of the answer; end the program on a refusal."""
+    outcome = call(address, method, path, body)
+    if not isinstance(outcome, Success):
+        _give_up(str(outcome.failure()), EXIT_REFUSED)
+    answer: Answer = outcome.unwrap()
+    if answer.status >= OK_BELOW:
+        shown = json.dumps(answer.body, indent=2)
+        _give_up(f'refused ({answer.status}): {shown}', EXIT_REFUSED)
+    return answer.body
+
+
+class Commands:
+    """Steer and question a rosemaryweir deployment.
+
+    Operators talk to an agent (``--agent``), callers to an entry
+    (``--entry``); any VM will do.
+    """
+
+    def check(self, path: str, kind: str = 'note') -> None:
+        """Check a file whole and print every finding.
+
+        Args:
+            path: the JSON file.
+            kind: note, settings or config.
+        """
+        _read(path, kind)
+        print(f'{path}: no findings')
+
+    def plan(self, path: str, agent: str = AGENT) -> None:
+        """Show what a release note would do, without applying it."""
+        note = _read(path, 'note')
+        _ask(agent, 'POST', '/v1/plan', note)
+        print(f'note {note["note"]} on generation {note["base"]}:')
+        _print(plan_lines(note))
+
+    def apply(self, path: str, agent: str = AGENT) -> None:
+        """Apply a release note; wait until it is in force on this VM."""
+        self._apply(_read(path, 'note'), agent)
+
+    def status(self, address: str = ENTRY) -> None:
+        """Show the status of a process: an entry's or an agent's address."""
+        _print(status_lines(_ask(address, 'GET', '/v1/status')))
+
+    def drain(self, domain: str, agent: str = AGENT, reason: str = '') -> None:
+        """Take a failure domain out: it gets no new work."""
+        self._set_domain(domain, 'out', agent, reason)
+
+    def restore(
+        self,
+        domain: str,
+        agent: str = AGENT,
+        reason: str = '',
+    ) -> None:
+        """Bring a failure domain back; its targets count as cold."""
+        self._set_domain(domain, 'in', agent, reason)
+
+    def query(
+        self,
+        service: str,
+        text: str,
+        entry: str = ENTRY,
+        deadline_ms: int = 2000,
+    ) -> None:
+        """Ask a query and print its answer as JSON."""
+        body = {
+            'service': service,
+            'query': str(text),
+            'deadline_ms': deadline_ms,
+        }
+        answer = _ask(entry, 'POST', '/v1/query', body)
+        print(json.dumps(answer, indent=2))
+
+    def order(
+        self,
+        service: str,
+        order_key: str,
+        body: str,
+        entry: str = ENTRY,
+        deadline_ms: int = 2000,
+    ) -> None:
+        """Place an order; asking again with its key never runs it twice."""
+        content = {
+            'service': service,
+            'order_key': str(order_key),
+            'body': str(body),
+            'deadline_ms': deadline_ms,
+        }
+        answer = _ask(entry, 'POST', '/v1/order', content)
+        print(json.dumps(answer, indent=2))
+
+    def directory(self, entry: str = ENTRY, domain: str = '') -> None:
+        """Show which VMs callers should use."""
+        path = f'/v1/directory?domain={domain}' if domain else '/v1/directory'
+        print(json.dumps(_ask(entry, 'GET', path), indent=2))
+
+    def demo(self, folder: str, deployment: str = 'halvorsen') -> None:
+        """Run the main job on processes that stand; see ``make demo``."""
+        sys.exit(Demo.from_folder(folder, deployment).run())
+
+    def demo_files(self, folder: str, deployment: str = 'halvorsen') -> None:
+        """Write the settings and the release note of the demo."""
+        _print(Demo.from_folder(folder, deployment).write_files())
+
+    def _set_domain(
+        self,
+        domain: str,
+        state: str,
+        agent: str,
+        reason: str,
+    ) -> None:
+        config = _ask(agent, 'GET', '/v1/config')
+        note = {
+            'note': f'{domain}-{state}-{uuid.uuid4().hex}',
+            'format': CONFIG_FORMAT,
+            'base': config['generation'],
+            'reason': reason,
+            'changed': {'domains': {domain: {'state': state}}},
+        }
+        self._apply(note, agent)
+
+    def _apply(self, note: Mapping[str, Any], agent: str) -> None:
+        _print(plan_lines(note))
+        _ask(agent, 'POST', '/v1/notes', note)
+        print(f'accepted: note {note["note"]}')
+        wanted = note['base'] + 1
+        ends = time.monotonic() + WAIT_S
+        while _ask(agent, 'GET', '/v1/status')['generation'] < wanted:
+            if time.monotonic() > ends:
+                _give_up('accepted, but not in force yet', EXIT_REFUSED)
+            time.sleep(POLL_S)
+        print(f'in force: generation {wanted}')
+
+
+def main() -> None:
+    """Run the command line."""
+    fire.Fire(Commands, name='rosemaryweir')
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/rosemaryweir/cli/show.py
@@ -0,0 +1,92 @@
+"""Show answers of the system to people."""
+
+import json
+from collections.abc import Iterable, Iterator, Mapping
+from typing import Any
+
+from rosemaryweir.exception import Finding
+
+__all__ = [
+    'findings_lines',
+    'latency_lines',
+    'plan_lines',
+    'status_lines',
+    'table_lines',
+]
+
+MARKS = {'added': '+', 'changed': '~', 'withdrawn': '-'}
+
+
+def findings_lines(findings: Iterable[Finding]) -> list[str]:
+    """Return one line for each finding.
+
+    Examples
+    --------
+    >>> findings_lines([Finding('$.base', 'is missing', 'add it')])
+    ['  $.base: is missing (add it)']
+    """
+    return [f'  {finding}' for finding in findings]
+
+
+def plan_lines(note: Mapping[str, Any]) -> Iterator[str]:
+    """Yield what a release note does, a line for each name.
+
+    Examples
+    --------
+    >>> list(plan_lines({'withdrawn': {'targets': ['old']}}))
+    ['  - targets old']
+    """
+    for section, mark in MARKS.items():
+        for kind, names in sorted(note.get(section, {}).items()):
+            for name in sorted(names):
+                detail = _detail(section, names, name)
+                yield f'  {mark} {kind} {name}{detail}'
+
+
+def _detail(section: str, names: Any, name: str) -> str:
+    if section != 'changed':
+        return ''
+    return f' {json.dumps(names[name], sort_keys=True)}'
+
+
+def table_lines(rows: Iterable[Mapping[str, Any]]) -> Iterator[str]:
+    """Yield a table with a heading; every row has the keys of the first.
+
+    Examples
+    --------
+    >>> for line in table_lines([{'vm': 'a', 'state': 'serving'}]):
+    ...     print(line)
+    vm  state
+    a   serving
+    """
+    shown = [{key: str(cell) for key, cell in row.items()} for row in rows]
+    if not shown:
+        return
+    heading = {key: key for key in shown[0]}
+    widths = {
+        key: max(len(row.get(key, '')) for row in (heading, *shown))
+        for key in heading
+    }
+    for row in (heading, *shown):
+        cells = (row.get(key, '').ljust(width) for key, width in widths.items())
+        yield '  '.join(cells).rstrip()
+
+
+def latency_lines(latency: Mapping[str, Mapping[str, float]]) -> Iterator[str]:
+    """Yield the table of latency histograms of a status, times in ms."""
+    return table_lines(
+        {'histogram': name, **summary} for name, summary in latency.items()
+    )
+
+
+def status_lines(status: Mapping[str, Any]) -> Iterator[str]:
+    """Yield the status of one process."""
+    state = 'serving' if status['serving'] else status['reason'] or 'fenced'
+    yield (
+        f'{status["vm"]}/{status["role"]}: {state}, '
+        f'generation {status["generation"]}'
+    )
+    yield from (f'  {line}' for line in latency_lines(status['latency_ms']))
+    for part, content in status['parts'].items():
+        if content:
+            yield f'  {part}: {json.dumps(content, sort_keys=True)}'
