Daemons, peers over zmq, target port, stand-in targets

Cause: the composed nodes had no ports, so nothing ran as a process. Change: daemons (driver, process, entry, leaf, agent, logs, metrics), the Peer port (envelopes, incarnations, age of messages), the Target port with control connections, stand-in targets with faults, docs of both protocols.

--- /dev/null
+++ b/rosemaryweir/daemons/driver.py
@@ -0,0 +1,192 @@
+"""The driver of a node: events in, actions out.
+
+It decides nothing: it gives each event to the node together with the time,
+carries out the actions that come back, in order, and keeps the one timer
+that the node asks for.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from rosemaryweir.daemons.logs import EventLog
+from rosemaryweir.daemons.metrics import Metrics
+from rosemaryweir.node.action import (
+    Action,
+    CancelAttempt,
+    CloseConnection,
+    Exit,
+    ListPlatform,
+    LogEvent,
+    Metric,
+    OpenConnection,
+    ProbeTarget,
+    ReplyCaller,
+    SendPeer,
+    SendTarget,
+    StoreDelete,
+    StoreGet,
+    StoreList,
+    StorePut,
+    StoreUnwatch,
+    StoreWatch,
+)
+from rosemaryweir.node.catalogue import register_event
+from rosemaryweir.node.event import Event, Wake
+from rosemaryweir.node.node import Node
+from rosemaryweir.node.ports import Clock, Peer, Store, Target
+
+__all__ = ['Driver']
+
+ACTION_FAILED = register_event(
+    701,
+    'daemon.action_failed',
+    'error',
+    'A driver could not carry out an action. A defect.',
+)
+EVENT_FAILED = register_event(
+    704,
+    'daemon.event_failed',
+    'error',
+    'The node raised on an event; the event was dropped. A defect.',
+)
+#: Least time between two wakes, in seconds: a timer that doesn't move on
+#: must not take the whole loop.
+LEAST_WAKE_SECONDS = 0.001
+_TARGET_CALLS = (
+    OpenConnection,
+    CloseConnection,
+    SendTarget,
+    CancelAttempt,
+    ProbeTarget,
+)
+_STORE_CALLS = (
+    StoreGet,
+    StoreList,
+    StorePut,
+    StoreDelete,
+    StoreWatch,
+    StoreUnwatch,
+    ListPlatform,
+)
+
+Carrier = Callable[[Any], None]
+
+
+class Driver:
+    """Runs one node on the asyncio loop.
+
+    Parameters
+    ----------
+    node : Node
+        The node.
+    clock : Clock
+        The time; its monotonic seconds must be those of the loop.
+    log : EventLog
+        Where log events go.
+    metrics : Metrics
+        Where measurements go.
+
+    Attributes
+    ----------
+    finished : asyncio.Future of int
+        The exit code, once the node has nothing left to do.
+    """
+
+    def __init__(
+        self,
+        node: Node,
+        clock: Clock,
+        log: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        self.node = node
+        self.finished: asyncio.Future[int] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._clock = clock
+        self._log = log
+        self._events: deque[Event] = deque()
+        self._running = False
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = float('inf')
+        self._carriers: dict[type[Action], Carrier] = {
+            Exit: self._exit,
+            LogEvent: log.write,
+            Metric: metrics.take,
+        }
+
+    def connect(
+        self,
+        reply: Callable[[ReplyCaller], None],
+        peer: Peer,
+        store: Store,
+        target: Target,
+    ) -> None:
+        """Connect the ports that carry out actions."""
+        carriers: Mapping[type[Action], Carrier] = {
+            ReplyCaller: reply,
+            SendPeer: peer.send,
+            **dict.fromkeys(_STORE_CALLS, store.call),
+            **dict.fromkeys(_TARGET_CALLS, target.call),
+        }
+        self._carriers.update(carriers)
+
+    def start(self) -> None:
+        """Set the node's timers going."""
+        self.post(Wake())
+
+    def post(self, event: Event) -> None:
+        """Give an event to the node, after those that wait."""
+        self._events.append(event)
+        if self._running:
+            return
+        self._running = True
+        while self._events:
+            self._handle(self._events.popleft())
+        self._running = False
+        self._arm()
+
+    def close(self) -> None:
+        """Stop the timer."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _handle(self, event: Event) -> None:
+        try:
+            actions = self.node.handle(event, self._clock.monotonic())
+        except Exception as exc:  # noqa: BLE001
+            fields = {'event': type(event).__name__, 'error': repr(exc)}
+            self._log.event(EVENT_FAILED, fields)
+            return
+        for action in actions:
+            self._carry_out(action)
+
+    def _carry_out(self, action: Action) -> None:
+        try:
+            self._carriers[type(action)](action)
+        except Exception as exc:  # noqa: BLE001
+            fields = {'action': type(action).__name__, 'error': repr(exc)}
+            self._log.event(ACTION_FAILED, fields)
+
+    def _arm(self) -> None:
+        wanted = self.node.next_wake()
+        if wanted == self._timer_at and self._timer is not None:
+            return
+        self.close()
+        if wanted is None or self.finished.done():
+            return
+        self._timer_at = wanted
+        soonest = self._clock.monotonic() + LEAST_WAKE_SECONDS
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_at(max(wanted, soonest), self._wake)
+
+    def _wake(self) -> None:
+        self._timer = None
+        self.post(Wake())
+
+    def _exit(self, action: Exit) -> None:
+        if not self.finished.done():
+            self.finished.set_result(action.code)
--- /dev/null
+++ b/rosemaryweir/daemons/logs.py
@@ -0,0 +1,70 @@
+"""Numbered log events as JSON lines by structlog."""
+
+import logging
+import sys
+from collections.abc import Mapping
+from typing import Any, Protocol, cast
+
+import structlog
+
+from rosemaryweir.node.action import LogEvent
+from rosemaryweir.node.catalogue import event_kind
+from rosemaryweir.node.state import NodeUid
+
+__all__ = ['EventLog', 'configure_logs']
+
+DEFAULT_LEVEL = 'info'
+
+
+class _Logger(Protocol):
+    """What is used of a structlog logger."""
+
+    def log(self, level: int, event: str, **fields: Any) -> None:
+        """Log one event."""
+
+
+def configure_logs(level: str = DEFAULT_LEVEL) -> None:
+    """Send log events of a level and above to standard error."""
+    least = _LEVELS[level]
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt='iso', utc=True),
+            structlog.processors.JSONRenderer(default=repr),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(least),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+    )
+
+
+class EventLog:
+    """Logs the events of one process.
+
+    Parameters
+    ----------
+    uid : NodeUid
+        Identity of the process; part of each line.
+    """
+
+    def __init__(self, uid: NodeUid) -> None:
+        logger = structlog.get_logger(process=uid.name)
+        self._logger = cast(_Logger, logger)
+
+    def write(self, action: LogEvent) -> None:
+        """Log an event of the catalogue."""
+        self.event(action.number, action.fields)
+
+    def event(self, number: int, fields: Mapping[str, Any]) -> None:
+        """Log an event by its number."""
+        kind = event_kind(number)
+        level = _LEVELS[kind.level] if kind else logging.ERROR
+        name = kind.name if kind else 'unregistered'
+        self._logger.log(level, name, number=number, fields=dict(fields))
+
+
+_LEVELS: Mapping[str, int] = {
+    'debug': logging.DEBUG,
+    'info': logging.INFO,
+    'warning': logging.WARNING,
+    'error': logging.ERROR,
+}
--- /dev/null
+++ b/rosemaryweir/daemons/metrics.py
@@ -0,0 +1,65 @@
+"""Metrics: to statsd, when the settings name one, and to histograms."""
+
+from typing import Any
+
+from statsd import StatsClient
+
+from rosemaryweir.node.action import Metric
+from rosemaryweir.telemetry.histogram import HistogramSet
+
+__all__ = ['Metrics', 'metric_path']
+
+PREFIX = 'rosemaryweir'
+
+
+class Metrics:
+    """Takes the measurements of one process.
+
+    Parameters
+    ----------
+    role : str
+        Role of the process, part of each name.
+    address : str, optional
+        ``ip:port`` of statsd; nothing is sent without one.
+
+    Attributes
+    ----------
+    histograms : HistogramSet
+        Every time that was measured, by name and tags.
+    """
+
+    def __init__(self, role: str, address: str = '') -> None:
+        self.histograms = HistogramSet()
+        self._client: Any = None
+        if address:
+            host, _, port = address.rpartition(':')
+            prefix = f'{PREFIX}.{role}'
+            self._client = StatsClient(host, int(port), prefix=prefix)
+
+    def take(self, metric: Metric) -> None:
+        """Take one measurement."""
+        if metric.form == 'time':
+            self.histograms.record(metric.name, metric.amount, metric.tags)
+        if self._client is not None:
+            self._send(metric)
+
+    def _send(self, metric: Metric) -> None:
+        path = metric_path(metric)
+        if metric.form == 'time':
+            self._client.timing(path, metric.amount)
+        elif metric.form == 'gauge':
+            self._client.gauge(path, metric.amount)
+        else:
+            self._client.incr(path, metric.amount)
+
+
+def metric_path(metric: Metric) -> str:
+    """Return the statsd name of a metric: its name, then its tags.
+
+    Examples
+    --------
+    >>> metric_path(Metric('time', 'query', 5, {'tenant': 'a', 'class': 'b'}))
+    'query.class_b.tenant_a'
+    """
+    tags = (f'{key}_{text}' for key, text in sorted(metric.tags.items()))
+    return '.'.join((metric.name, *tags))
--- /dev/null
+++ b/rosemaryweir/daemons/process.py
@@ -0,0 +1,178 @@
+"""One process of the system: a node with its ports, from start to exit."""
+
+import asyncio
+import pathlib
+import signal
+import sys
+from collections.abc import Mapping
+from random import Random
+from typing import Any
+
+from rosemaryweir.compose import Node
+from rosemaryweir.daemons.clock import MS_PER_SECOND, SystemClock
+from rosemaryweir.daemons.driver import Driver
+from rosemaryweir.daemons.logs import DEFAULT_LEVEL, EventLog, configure_logs
+from rosemaryweir.daemons.metrics import Metrics
+from rosemaryweir.exception import Finding, InvalidInput
+from rosemaryweir.node.catalogue import register_event
+from rosemaryweir.node.event import ShutdownAsked
+from rosemaryweir.platform.client import StoreClient
+from rosemaryweir.schema.check import checked
+from rosemaryweir.schema.generated.settings import Settings
+from rosemaryweir.transport.callers import CallerPort
+from rosemaryweir.transport.peers import PeerPort
+from rosemaryweir.transport.targets import TargetPort
+
+__all__ = ['Process', 'read_settings', 'run_role']
+
+STARTED = register_event(
+    700,
+    'daemon.started',
+    'info',
+    'A process listens on its addresses.',
+)
+STOPPED = register_event(
+    702,
+    'daemon.stopped',
+    'info',
+    'A process ends; the code is 0 after a graceful shutdown.',
+)
+DRAIN_EXPIRED = register_event(
+    703,
+    'daemon.drain_expired',
+    'error',
+    'Work in flight did not end within drain_ms of the shutdown; it was cut.',
+)
+
+EXIT_FINDINGS = 2
+EXIT_CUT = 1
+DEFAULT_DRAIN_MS = 60_000
+#: Time for the last bytes to leave before sockets close, in seconds.
+FLUSH_SECONDS = 0.2
+#: Which addresses a role serves callers or operators on, if any.
+_HTTP = {'entry': 'entry_http', 'agent': 'agent_http', 'leaf': ''}
+
+
+class Process:
+    """A node, its driver and its ports.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+    role : str
+        ``entry``, ``leaf`` or ``agent``.
+
+    See Also
+    --------
+    rosemaryweir.daemons.driver : the loop between node and ports.
+    """
+
+    def __init__(self, settings: Settings, role: str) -> None:
+        clock = SystemClock()
+        self._settings = settings
+        self._role = role
+        incarnation = clock.incarnation()
+        # Chance only spreads load and timers here; no secret hangs on it.
+        rng = Random()  # noqa: S311
+        self.node = Node.from_config(settings, role, incarnation, rng)
+        uid = self.node.state.uid
+        self._log = EventLog(uid)
+        self._metrics = Metrics(role, settings.get('statsd', ''))
+        self.driver = Driver(self.node, clock, self._log, self._metrics)
+        post = self.driver.post
+        self.peers = PeerPort(uid, post, clock)
+        self._store = StoreClient(settings['store'], post)
+        self._targets = TargetPort(post, clock)
+        # A leaf serves no HTTP; its port for callers stays unused.
+        self._callers = CallerPort(_HTTP[role] or 'entry_http', post, clock)
+        self._callers.extra_status = self._extra_status
+        self.driver.connect(
+            self._callers.reply,
+            self.peers,
+            self._store,
+            self._targets,
+        )
+
+    async def start(self) -> None:
+        """Listen on the addresses of the role and set the node going."""
+        addresses: Mapping[str, Any] = {**self._settings['addresses']}
+        used = {'peer': self.peers.start(addresses[f'{self._role}_peer'])}
+        http = _HTTP[self._role]
+        if http:
+            used['http'] = await self._callers.http.start(addresses[http])
+        self._log.event(STARTED, used)
+        self.driver.start()
+
+    async def run(self) -> int:
+        """Run until the node ends or is told to; return the exit code."""
+        loop = asyncio.get_running_loop()
+        for name in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(name, self.shutdown)
+        code = await self.driver.finished
+        await self.stop()
+        self._log.event(STOPPED, {'code': code})
+        return code
+
+    async def stop(self) -> None:
+        """Let the last bytes leave, then close every socket."""
+        await self._callers.http.stop()
+        await asyncio.sleep(FLUSH_SECONDS)
+        self.driver.close()
+        self._store.close()
+        self._targets.close()
+        self.peers.close()
+
+    def shutdown(self) -> None:
+        """Begin a graceful shutdown."""
+        drain_ms = self._settings.get('drain_ms', DEFAULT_DRAIN_MS)
+        loop = asyncio.get_running_loop()
+        loop.call_later(drain_ms / MS_PER_SECOND, self._cut)
+        self.driver.post(ShutdownAsked())
+
+    def _cut(self) -> None:
+        if not self.driver.finished.done():
+            self._log.event(DRAIN_EXPIRED, {'in_flight': len(self._callers)})
+            self.driver.finished.set_result(EXIT_CUT)
+
+    def _extra_status(self) -> Mapping[str, Any]:
+        return {
+            'histograms': self._metrics.histograms.summaries(),
+            'peers': dict(self.peers.counts),
+        }
+
+
+def read_settings(path: str) -> Settings:
+    """Read settings and check them whole.
+
+    Raises
+    ------
+    InvalidInput
+        With all findings.
+    """
+    try:
+        text = pathlib.Path(path).read_bytes()
+    except OSError as exc:
+        raise InvalidInput((Finding('$', str(exc)),)) from exc
+    settings: Settings = checked('settings', text)
+    return settings
+
+
+def run_role(role: str, path: str, check: bool) -> int:
+    """Run a role with the settings of a file; return the exit code."""
+    try:
+        settings = read_settings(path)
+    except InvalidInput as exc:
+        sys.stderr.write(f'{path}:\n{exc}\n')
+        return EXIT_FINDINGS
+    if check:
+        sys.stdout.write(f'{path}: no findings\n')
+        return 0
+    configure_logs(settings.get('log_level', DEFAULT_LEVEL))
+    return asyncio.run(_run(settings, role))
+
+
+async def _run(settings: Settings, role: str) -> int:
+    process = Process(settings, role)
+    await process.start()
+    return await process.run()
--- a/rosemaryweir/transport/callers.py
+++ b/rosemaryweir/transport/callers.py
@@ -1,7 +1,8 @@
 """The callers' side: HTTP requests to events, replies to HTTP answers."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from itertools import count
+from typing import Any
 
 from returns.pipeline import is_successful
 
@@ -17,6 +18,7 @@
 
 #: Release notes are larger than questions.
 OPERATOR_LIMITS = HttpLimits(body_bytes=8 * KIB * KIB, read_seconds=30.0)
+STATUS_TOPIC = 'status'
 _LIMITS = {'entry_http': HttpLimits(), 'agent_http': OPERATOR_LIMITS}
 
 
@@ -31,6 +33,11 @@
         Takes each event.
     clock : Clock
         Gives the wall-clock time of arrival.
+
+    Attributes
+    ----------
+    extra_status : callable
+        Returns what the status page shows beside the node's own.
     """
 
     def __init__(
@@ -44,6 +51,8 @@
         self._clock = clock
         self._numbers = count(1)
         self._waiting: dict[int, Exchange] = {}
+        self._status_reqs: set[int] = set()
+        self.extra_status: Callable[[], Mapping[str, Any]] = dict
         self.http = HttpServer(self._take, _LIMITS[server])
 
     def __len__(self) -> int:
@@ -53,8 +62,12 @@
     def reply(self, action: ReplyCaller) -> None:
         """Answer a request, if its caller still waits."""
         exchange = self._waiting.pop(action.req, None)
+        body = action.body
+        if action.req in self._status_reqs:
+            self._status_reqs.discard(action.req)
+            body = {**body, **self.extra_status()}
         if exchange is not None:
-            exchange.reply_json(action.status, action.body)
+            exchange.reply_json(action.status, body)
 
     def _take(self, exchange: Exchange) -> None:
         outcome = decode(self._name, exchange.request)
@@ -65,10 +78,13 @@
         decoded = outcome.unwrap()
         req = next(self._numbers)
         self._waiting[req] = exchange
+        if decoded.topic == STATUS_TOPIC:
+            self._status_reqs.add(req)
         exchange.on_gone = lambda: self._gone(req, decoded.topic)
         wall = self._clock.wall()
         self._post(CallerRequest(req, decoded.topic, decoded.body, wall))
 
     def _gone(self, req: int, topic: str) -> None:
+        self._status_reqs.discard(req)
         if self._waiting.pop(req, None) is not None:
             self._post(CallerGone(req, topic))
