--- /dev/null
+++ b/rosemaryweir/daemons/load_tally.py
@@ -0,0 +1,105 @@
+"""What a load run has seen: outcomes, coverage, latency by class."""
+
+from collections import Counter
+from collections.abc import Mapping
+from typing import Any, TypedDict
+
+from rosemaryweir.telemetry.histogram import HistogramSet
+
+__all__ = ['LoadSummary', 'LoadTally']
+
+MS_PER_SECOND = 1000
+
+
+class LoadSummary(TypedDict):
+    """The result of a load run, printed as JSON.
+
+    ``latency_ms`` holds percentiles by kind of work and class;
+    ``coverage`` the mean and least coverage of answers; ``untrue`` counts
+    answers that are not the caller's own or whose coverage doesn't add up.
+    """
+
+    queries: int
+    orders: int
+    outcomes: dict[str, int]
+    refusals: dict[str, int]
+    errors: dict[str, int]
+    coverage: dict[str, float]
+    latency_ms: dict[str, dict[str, float]]
+    untrue: int
+    retried: int
+    seconds: float
+
+
+class LoadTally:
+    """Counts what callers get.
+
+    Examples
+    --------
+    >>> tally = LoadTally()
+    >>> tally.refused({'reason': 'overloaded', 'ran': 'not_run'})
+    >>> tally.summary(1.0)['refusals']
+    {'overloaded/not_run': 1}
+    """
+
+    def __init__(self) -> None:
+        self.queries = 0
+        self.orders = 0
+        self.retried = 0
+        self._outcomes: Counter[str] = Counter()
+        self._refusals: Counter[str] = Counter()
+        self._errors: Counter[str] = Counter()
+        self._untrue = 0
+        self._covered: list[float] = []
+        self._histograms = HistogramSet()
+
+    def answered(
+        self,
+        kind: str,
+        class_: str,
+        seconds: float,
+        answer: Mapping[str, Any],
+    ) -> None:
+        """Count an answer to a query or an order."""
+        self._outcomes[f'{kind}/{answer["outcome"]}'] += 1
+        labels = {'class': class_}
+        self._histograms.record(kind, seconds * MS_PER_SECOND, labels)
+
+    def covered(self, text: str, answer: Mapping[str, Any]) -> None:
+        """Check the coverage of an answer to a query, and its rows."""
+        coverage = answer['coverage']
+        total = coverage['total']
+        missing = coverage['missing']
+        self._covered.append(coverage['covered'] / total if total else 0.0)
+        shards = {row['shard'] for row in answer['rows']}
+        own = all(text in row['text'] for row in answer['rows'])
+        adds_up = coverage['covered'] + len(missing) == total
+        if not own or not adds_up or shards & set(missing):
+            self._untrue += 1
+
+    def refused(self, refusal: Mapping[str, Any]) -> None:
+        """Count a refusal."""
+        self._refusals[f'{refusal["reason"]}/{refusal["ran"]}'] += 1
+
+    def failed(self, error: Exception) -> None:
+        """Count a request without an answer."""
+        self._errors[type(error).__name__] += 1
+
+    def summary(self, seconds: float) -> LoadSummary:
+        """Return everything counted."""
+        covered = self._covered or [0.0]
+        return LoadSummary(
+            queries=self.queries,
+            orders=self.orders,
+            outcomes=dict(sorted(self._outcomes.items())),
+            refusals=dict(sorted(self._refusals.items())),
+            errors=dict(sorted(self._errors.items())),
+            coverage={
+                'mean': round(sum(covered) / len(covered), 4),
+                'least': round(min(covered), 4),
+            },
+            latency_ms=self._histograms.summaries(),
+            untrue=self._untrue,
+            retried=self.retried,
+            seconds=round(seconds, 2),
+        )
