--- a/rosemaryweir/cli/demo.py
+++ b/rosemaryweir/cli/demo.py
@@ -8,16 +8,15 @@
 import asyncio
 import json
 import pathlib
-import sys
 import time
-from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from typing import Any, NamedTuple
 
 from rosemaryweir.cli.client import Answer, CallFailed, attempt, call
 from rosemaryweir.cli.show import latency_lines, plan_lines
+from rosemaryweir.daemons.load import Load, LoadPlan
+from rosemaryweir.daemons.load_tally import LoadSummary
 from rosemaryweir.schema.generated.settings import Settings
-from rosemaryweir.telemetry.histogram import HistogramSet
 from rosemaryweir.testing.deployment import (
     DEPLOYMENTS,
     Deployment,
@@ -26,66 +25,19 @@
     vm_settings,
 )
 
-__all__ = ['Demo', 'Tally']
+__all__ = ['Demo']
 
 VMS = 3
 STORE = '127.0.0.1:11999'
-QUERIES = 200
-ORDERS = 30
-CONCURRENT = 8
+QUERY_RATE = 30.0
+ORDER_RATE = 5.0
+LOAD_S = 10.0
+DEADLINE_MS = 2000
 READY_S = 30.0
 POLL_S = 0.2
-MS = 1000.0
 OK = 200
 
 
-class Tally:
-    """What the callers of the demo saw."""
-
-    def __init__(self) -> None:
-        self.outcomes: Counter[str] = Counter()
-        self.covered = 0
-        self.total = 0
-        self.histograms = HistogramSet()
-        self.orders: dict[str, list[str]] = {}
-
-    def query(self, klass: str, took_s: float, answer: Answer) -> None:
-        """Count the answer to a query."""
-        body = answer.body
-        if answer.status != OK:
-            self.outcomes[f'query refused: {body["reason"]}'] += 1
-            return
-        self.outcomes[f'query {body["outcome"]}'] += 1
-        self.covered += body['coverage']['covered']
-        self.total += body['coverage']['total']
-        self.histograms.record('query', took_s * MS, {'class': klass})
-
-    def order(self, order_key: str, took_s: float, answer: Answer) -> None:
-        """Count the answer to an order."""
-        body = answer.body
-        outcome = body.get('outcome') or f'refused: {body["reason"]}'
-        if body.get('recorded'):
-            outcome = f'{outcome}, recorded earlier'
-        self.outcomes[f'order {outcome}'] += 1
-        self.orders.setdefault(order_key, []).append(outcome)
-        self.histograms.record('order', took_s * MS, {'class': 'order'})
-
-    def lost(self, kind: str, failure: CallFailed) -> None:
-        """Count a request whose connection broke."""
-        self.outcomes[f'{kind} unanswered'] += 1
-
-    def lines(self) -> Iterator[str]:
-        """Yield the summary for people."""
-        for outcome, count in sorted(self.outcomes.items()):
-            yield f'  {outcome:36} {count}'
-        share = self.covered / self.total if self.total else 0.0
-        yield f'  coverage: {self.covered} of {self.total} ({share:.2%})'
-        yield 'latency as callers saw it, in ms:'
-        yield from (
-            f'  {line}' for line in latency_lines(self.histograms.summaries())
-        )
-
-
 class Demo(NamedTuple):
     """The demo of one deployment.
 
@@ -134,14 +86,15 @@
         if not self._wait_serving():
             print('the VMs do not serve')
             return 1
-        tally = Tally()
-        asyncio.run(self._callers(tally))
+        print('the directory says:', _directory(self.settings[0]))
+        print(f'asking queries and orders for {LOAD_S:.0f} s ...')
+        summary = asyncio.run(Load(self._plan(), 'demo').run())
+        again = asyncio.run(self._ask_again())
         print(f'{self.deployment.name}: {len(self.settings)} VMs')
-        print('\n'.join(tally.lines()))
+        print('\n'.join(_summary_lines(summary)))
+        print(f'  the same order at each VM in turn: {", ".join(again)}')
         print('\n'.join(self._tier_lines()))
-        doubled = self._doubled()
-        print(f'orders run more than once by a target: {doubled}')
-        return int(doubled > 0 or not tally.total)
+        return self._verdict(summary)
 
     def _write(self, name: str, content: Any) -> None:
         path = self.folder / f'{name}.json'
@@ -164,70 +117,39 @@
             time.sleep(POLL_S)
         return not waiting
 
-    async def _callers(self, tally: Tally) -> None:
-        gate = asyncio.Semaphore(CONCURRENT)
-        domains = self.deployment.domains
-        use = await _directory(self.settings, domains[0])
-        jobs = [
-            self._one_query(tally, use, number) for number in range(QUERIES)
-        ]
-        jobs.extend(
-            self._one_order(tally, use, number) for number in range(ORDERS)
+    def _plan(self) -> LoadPlan:
+        return LoadPlan(
+            entries=tuple(self._entries()),
+            services=self._services('query'),
+            order_services=self._services('order'),
+            rate=QUERY_RATE,
+            order_rate=ORDER_RATE,
+            seconds=LOAD_S,
+            deadline_ms=DEADLINE_MS,
+            classes=tuple(sorted(self.deployment.classes)),
+            domain=self.deployment.domains[0],
         )
 
-        async def gated(job: Any) -> None:
-            async with gate:
-                await job
-
-        await asyncio.gather(*(gated(job) for job in jobs))
-
-    async def _one_query(
-        self,
-        tally: Tally,
-        use: list[str],
-        number: int,
-    ) -> None:
-        services = self._services('query')
-        classes = sorted(self.deployment.classes)
-        klass = classes[number % len(classes)]
+    async def _ask_again(self) -> list[str]:
+        """Place one order at every VM in turn; return what each says."""
         body = {
-            'service': services[number % len(services)],
-            'query': f'record {number}',
-            'class': klass,
+            'service': self._services('order')[0],
+            'order_key': 'demo-again',
+            'body': 'one disc',
         }
-        began = time.monotonic()
-        answer = await attempt(use[0], 'POST', '/v1/query', body)
-        if isinstance(answer, CallFailed):
-            tally.lost('query', answer)
-        else:
-            tally.query(klass, time.monotonic() - began, answer)
-
-    async def _one_order(
-        self,
-        tally: Tally,
-        use: list[str],
-        number: int,
-    ) -> None:
-        services = self._services('order')
-        body = {
-            'service': services[number % len(services)],
-            'order_key': f'demo-{number}',
-            'body': f'disc {number}',
-        }
-        # Ask twice with one key, the second time at another VM.
-        for address in (use[0], use[-1]):
-            began = time.monotonic()
+        said = []
+        for address in self._entries():
             answer = await attempt(address, 'POST', '/v1/order', body)
-            if isinstance(answer, CallFailed):
-                tally.lost('order', answer)
-            else:
-                took = time.monotonic() - began
-                tally.order(body['order_key'], took, answer)
+            said.append(_order_outcome(answer))
+        return said
+
+    def _entries(self) -> list[str]:
+        return [each['addresses']['entry_http'] for each in self.settings]
 
-    def _services(self, work: str) -> list[str]:
-        return [
+    def _services(self, work: str) -> tuple[str, ...]:
+        return tuple(
             size.name for size in self.deployment.services if size.work == work
-        ]
+        )
 
     def _tier_lines(self) -> Iterator[str]:
         yield 'latency inside the tier, in ms:'
@@ -241,12 +163,42 @@
                     for line in latency_lines(answer.body['latency_ms'])
                 )
 
-    def _doubled(self) -> int:
+    def _verdict(self, summary: LoadSummary) -> int:
         targets = config_of(self.deployment)['targets']
         address = next(iter(targets.values()))['address']
-        answer = call(address, 'GET', '/admin/stats').unwrap()
-        print(f'orders run by the targets: {len(answer.body["order_runs"])}')
-        return int(answer.body['doubled'])
+        stats = call(address, 'GET', '/admin/stats').unwrap().body
+        print(f'orders run by the targets: {len(stats["order_runs"])}')
+        print(f'orders that ran more than once: {stats["doubled"]}')
+        print(f'untrue answers: {summary["untrue"]}')
+        answered = sum(summary['outcomes'].values())
+        return int(stats['doubled'] or summary['untrue'] or not answered)
+
+
+def _summary_lines(summary: LoadSummary) -> Iterator[str]:
+    for title in ('outcomes', 'refusals', 'errors'):
+        counts: Mapping[str, int] = summary[title]
+        for name, count in sorted(counts.items()):
+            yield f'  {title:9} {name:30} {count}'
+    for name, share in summary['coverage'].items():
+        yield f'  coverage  {name:30} {share:.2%}'
+    yield 'latency as callers saw it, in ms:'
+    yield from (f'  {line}' for line in latency_lines(summary['latency_ms']))
+
+
+def _order_outcome(answer: Answer | CallFailed) -> str:
+    if isinstance(answer, CallFailed):
+        return answer.reason
+    outcome = answer.body.get('outcome') or answer.body['reason']
+    return f'{outcome}{" (recorded)" if answer.body.get("recorded") else ""}'
+
+
+def _directory(settings: Settings) -> str:
+    address = settings['addresses']['entry_http']
+    path = f'/v1/directory?domain={settings["domain"]}'
+    answer = call(address, 'GET', path).unwrap()
+    return ', '.join(
+        f'{use["vm"]} {use["address"]}' for use in answer.body['use']
+    )
 
 
 def _serves(address: str) -> bool:
@@ -255,15 +207,3 @@
         return False
     body = answer.body
     return bool(body.get('serving') and body.get('generation', 0) >= 1)
-
-
-async def _directory(settings: list[Settings], domain: str) -> list[str]:
-    for each in settings:
-        address = each['addresses']['entry_http']
-        path = f'/v1/directory?domain={domain}'
-        answer = await attempt(address, 'GET', path)
-        if not isinstance(answer, CallFailed) and answer.status == OK:
-            use = [entry['address'] for entry in answer.body['use']]
-            print(f'the directory says: use {", ".join(use)}')
-            return use
-    sys.exit('no VM answered the directory')
