--- a/rosemaryweir/cli/demo.py
+++ b/rosemaryweir/cli/demo.py
@@ -33,6 +33,7 @@
 ORDER_RATE = 5.0
 LOAD_S = 10.0
 DEADLINE_MS = 2000
+PROBE_MS = 500
 READY_S = 30.0
 POLL_S = 0.2
 OK = 200
@@ -86,6 +87,9 @@
         if not self._wait_serving():
             print('the VMs do not serve')
             return 1
+        if not self._wait_complete():
+            print('no complete answer came')
+            return 1
         print('the directory says:', _directory(self.settings[0]))
         print(f'asking queries and orders for {LOAD_S:.0f} s ...')
         summary = asyncio.run(Load(self._plan(), 'demo').run())
@@ -117,6 +121,17 @@
             time.sleep(POLL_S)
         return not waiting
 
+    def _wait_complete(self) -> bool:
+        """Ask until one query of each service has a complete answer."""
+        began = time.monotonic()
+        address = self._entries()[0]
+        waiting = list(self._services('query'))
+        while waiting and time.monotonic() < began + READY_S:
+            waiting = [each for each in waiting if not _complete(address, each)]
+        took = time.monotonic() - began
+        print(f'first complete answers {took:.1f} s after the VMs serve')
+        return not waiting
+
     def _plan(self) -> LoadPlan:
         return LoadPlan(
             entries=tuple(self._entries()),
@@ -192,6 +207,12 @@
     return f'{outcome}{" (recorded)" if answer.body.get("recorded") else ""}'
 
 
+def _complete(address: str, service: str) -> bool:
+    body = {'service': service, 'query': 'ready?', 'deadline_ms': PROBE_MS}
+    answer = call(address, 'POST', '/v1/query', body).value_or(None)
+    return answer is not None and answer.body.get('outcome') == 'complete'
+
+
 def _directory(settings: Settings) -> str:
     address = settings['addresses']['entry_http']
     path = f'/v1/directory?domain={settings["domain"]}'
