--- a/rosemaryweir/targets/account.py
+++ b/rosemaryweir/targets/account.py
@@ -56,6 +56,7 @@
         self.pump_at = float('inf')
         self.probe_at = 0.0
         self.recent = Latency()
+        self._unsure_since: float | None = None
         self._refusals = 0
 
     @property
@@ -67,7 +68,7 @@
     def allowed(self) -> int:
         """Requests that the target may run at once now."""
         allowed = self.warmth.allowed
-        if self.doubtful:
+        if self.doubtful or self._unsure_since is not None:
             return min(allowed, self.limits.cold_slots)
         return allowed
 
@@ -76,6 +77,14 @@
         """Whether no attempt is in flight and none waits."""
         return not self.slots.running and not self.queue
 
+    def unsure(self, now: float) -> None:
+        """Doubt that the target is what it was: a connection broke.
+
+        Until it answers a later request as the same incarnation, it gets no
+        more than a cold target.
+        """
+        self._unsure_since = now
+
     def resize(self, limits: Limits, address: str) -> None:
         """Follow a change of the configuration."""
         self.address = address
@@ -105,6 +114,11 @@
         """Note an answer to an attempt: those sent before are overtaken."""
         self.slots.answered(work.attempt)
         self.doubtful.pop(work.attempt, None)
+        since = self._unsure_since
+        if since is not None and work.sent_at >= since:
+            self._unsure_since = None
+            if not self.incarnation:
+                self.warmth.chilled()
         for conn in self.pool.conns.values():
             other = conn.work
             if other is not None and other.sent_at < work.sent_at:
--- a/rosemaryweir/targets/dispatcher.py
+++ b/rosemaryweir/targets/dispatcher.py
@@ -127,7 +127,7 @@
             return
         account.pool.failed(number, now)
         if not account.pool.conns:
-            account.warmth.chilled()
+            account.unsure(now)
             self.refuse_waiting(account, 'shed', now)
         self.pump(account, now)
 
@@ -135,8 +135,7 @@
         """Take the closing of a connection by the other end."""
         conn = account.pool.gone(number)
         if conn is not None:
-            if conn.work is not None:
-                account.warmth.chilled()
+            account.unsure(now)
             self._lose(account, conn, 'cut', now)
             self.pump(account, now)
 
--- a/rosemaryweir/targets/fleet.py
+++ b/rosemaryweir/targets/fleet.py
@@ -98,6 +98,8 @@
             self.handover.observe(self.state.lease.until, now)
             names = self._by_domain.get(view['domain'], [])
             self.handover.adopt(view, names, now)
+        if adopted:
+            self._chill_unowned(now)
         return adopted
 
     def listed(self, leaving: Iterable[str]) -> None:
@@ -158,6 +160,11 @@
         for target in self.exclusions.names():
             self._lift(target, 0)
 
+    def _chill_unowned(self, now: float) -> None:
+        for name, account in self.accounts.items():
+            if not self.handover.ready(name, now):
+                account.warmth.chilled()
+
     def _reconfigure(self, name: str, account: Account) -> None:
         known = self._config['targets'].get(name)
         limits = self._limits.get(name)
--- a/rosemaryweir/targets/handover.py
+++ b/rosemaryweir/targets/handover.py
@@ -129,10 +129,12 @@
         first = known is None and version == FIRST_VERSION
         self._settled[domain] = self.born + LEFTOVER if first else NEVER
         for target in targets:
-            had = unbroken and self._holds(target, now)
+            had = unbroken and self.ready(target, now)
+            # Its heir may have taken it over meanwhile: it can't be taken
+            # back, nor handed to someone else.
             self.giving.pop(target, None)
             if owner(target, view) == self.vm:
-                self._gain(target, view, had)
+                self._gain(target, view, unbroken)
             else:
                 self._lose(target, view, had)
 
@@ -197,15 +199,11 @@
             return True
         return known['domain'] not in self._broken and now < self._lease_until
 
-    def _holds(self, target: str, now: float) -> bool:
-        return target in self.giving or self.ready(target, now)
-
-    def _gain(self, target: str, view: View, had: bool) -> None:
-        if had and target in self._tenures:
+    def _gain(self, target: str, view: View, unbroken: bool) -> None:
+        if unbroken and target in self._tenures:
             return
         domain, version = view['domain'], view['version']
-        ready_at = self.born if had else self._settled[domain]
-        tenure = Tenure(domain, version, ready_at)
+        tenure = Tenure(domain, version, self._settled[domain])
         self._tenures[target] = tenure
         self._accept(target, tenure, self.born)
 
--- a/rosemaryweir/targets/service.py
+++ b/rosemaryweir/targets/service.py
@@ -309,10 +309,12 @@
             self._tick(None, now)
             self._list_platform(None, now)
         adopted = self.fleet.follow(now)
-        if adopted:
-            self.outbox.members_changed()
+        if not adopted:
+            return
+        self.outbox.members_changed()
         for view in adopted:
             self.releases.superseded(view['domain'])
+        self._release(now)
 
     def _collect(self) -> list[Action]:
         collected: list[Action] = []
--- /dev/null
+++ b/rosemaryweir/targets/tests/leaf.py
@@ -0,0 +1,207 @@
+"""A leaf with one query and one order service, driven by hand."""
+
+from random import Random
+
+from rosemaryweir.node.action import (
+    CloseConnection,
+    OpenConnection,
+    SendPeer,
+    SendTarget,
+)
+from rosemaryweir.node.event import (
+    ConnectionClosed,
+    ConnectionOpened,
+    PeerMessage,
+    TargetReply,
+    Wake,
+)
+from rosemaryweir.node.node import Node
+from rosemaryweir.node.state import Lease, NodeState, NodeUid
+from rosemaryweir.targets.service import TargetService
+
+SLOTS, COLD, CONNS, WARM_AFTER = 3, 1, 10, 4
+START = 100.0
+READY = START + 3.0
+
+
+def service(work='query', slots=SLOTS, cold=COLD, connections=CONNS):
+    return {
+        'work': work,
+        'slots': slots,
+        'connections': connections,
+        'connect_ms': 1.0,
+        'cold_slots': cold,
+        'warm_after': WARM_AFTER,
+        'layout': 1,
+        'shards': {'s': {'targets': ['t', 'u']}},
+    }
+
+
+def config(generation=1, state='in', **changes):
+    return {
+        'generation': generation,
+        'note': 'n',
+        'format': 1,
+        'services': {'q': service(**changes)},
+        'targets': {
+            name: {'address': f'127.0.0.1:{port}', 'domain': 'd'}
+            for port, name in enumerate(('t', 'u'), 1000)
+        },
+        'domains': {'d': {'region': 'r', 'state': state}},
+        'classes': {},
+        'tenants': {},
+    }
+
+
+def member(vm, state='alive'):
+    roles = ('entry_http', 'entry_peer', 'leaf_peer', 'agent_peer')
+    return {
+        'vm': vm,
+        'domain': 'd',
+        'state': state,
+        **{role: f'{vm}/{role}' for role in roles},
+    }
+
+
+def view(version=1, vms=('vm1',)):
+    members = [member(vm) for vm in vms]
+    return {'domain': 'd', 'version': version, 'members': members}
+
+
+class Leaf:
+    """Keeps what the leaf did, and answers its openings on request."""
+
+    def __init__(self, vms=('vm1',)):
+        state = NodeState(NodeUid('vm1', 'leaf', 1), {'vm': 'vm1'})
+        state.config = config()
+        state.lease = Lease(float('inf'), '')
+        state.take_view(view(vms=vms))
+        self.state = state
+        self.part = TargetService(state, Random(1))
+        self.node = Node(state, [self.part])
+        self.now = START
+        self.opening = []
+        self.sends = []
+        self.closed = []
+        self.messages = []
+        self.others = []
+        self.count = 0
+        self.give(Wake())
+        self.to(READY)
+
+    def give(self, event):
+        actions = self.node.handle(event, self.now)
+        for action in actions:
+            if isinstance(action, OpenConnection):
+                self.opening.append(action)
+            elif isinstance(action, SendTarget):
+                self.sends.append(action)
+            elif isinstance(action, CloseConnection):
+                self.closed.append(action)
+            elif isinstance(action, SendPeer):
+                self.messages.append(action.message)
+            else:
+                self.others.append(action)
+        return actions
+
+    def to(self, when):
+        """Let time pass, with every timer at its time."""
+        while (wake := self.node.next_wake()) is not None and wake <= when:
+            self.now = max(self.now, wake)
+            self.give(Wake())
+        self.now = when
+
+    def ask(self, target='t', attempt='', remaining_ms=500.0):
+        self.count += 1
+        attempt = attempt or f'a{self.count}'
+        pieces = [{'attempt': attempt, 'shard': 's', 'target': target}]
+        message = {
+            'kind': 'sub_query',
+            'query': attempt,
+            'service': 'q',
+            'layout': 1,
+            'version': 1,
+            'text': 'x',
+            'remaining_ms': remaining_ms,
+            'pieces': pieces,
+        }
+        self.give(PeerMessage('vm1/entry', 1, message))
+        return attempt
+
+    def order(self, attempt, target='t', remaining_ms=500.0):
+        message = {
+            'kind': 'order_send',
+            'order_key': f'key-{attempt}',
+            'attempt': attempt,
+            'service': 'q',
+            'target': target,
+            'body': 'x',
+            'remaining_ms': remaining_ms,
+        }
+        self.give(PeerMessage('vm1/entry', 1, message))
+
+    def cancel(self, attempt):
+        message = {
+            'kind': 'cancel_query',
+            'query': attempt,
+            'attempts': [attempt],
+        }
+        self.give(PeerMessage('vm1/entry', 1, message))
+
+    def open_all(self):
+        while self.opening:
+            action = self.opening.pop(0)
+            self.give(ConnectionOpened(action.conn, action.target))
+            self.to(self.now + 0.003)
+
+    def reply(self, send, status='ok', incarnation=1, **changes):
+        target = self.target_of(send.conn)
+        fields = {'attempt': send.attempt, 'layout': 1, 'version': 1}
+        fields.update(changes)
+        event = TargetReply(
+            send.conn,
+            target,
+            status=status,
+            incarnation=incarnation,
+            **fields,
+        )
+        self.give(event)
+
+    def target_of(self, conn):
+        for account in self.part.fleet.accounts.values():
+            if conn in account.pool.conns:
+                return account.name
+        return 't'
+
+    def hang_up(self, conn, reason='reset', idle=True):
+        target = self.target_of(conn)
+        self.give(ConnectionClosed(conn, target, reason, idle))
+
+    def warm_up(self, target='t', replies=30, took=0.01):
+        for _ in range(replies):
+            self.ask(target)
+            self.open_all()
+            self.to(self.now + took)
+            self.reply(self.sends[-1])
+        self.to(self.now + 0.01)
+
+    def outcomes(self):
+        """Return the outcomes of attempts told so far."""
+        self.to(self.now + 0.002)
+        return {
+            piece['attempt']: (piece['outcome'], piece['ran'])
+            for message in self.messages
+            if message['kind'] == 'partials'
+            for piece in message['pieces']
+        }
+
+    def orders(self):
+        """Return the results of orders told so far."""
+        return [
+            (message['attempt'], message['outcome'])
+            for message in self.messages
+            if message['kind'] == 'order_result'
+        ]
+
+    def account(self, target='t'):
+        return self.part.fleet.accounts[target]
--- /dev/null
+++ b/rosemaryweir/targets/tests/test_limits_machine.py
@@ -0,0 +1,202 @@
+"""State machine: the limits of a target hold, whatever happens."""
+
+from collections import Counter
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from rosemaryweir.node.event import ConnectionFailed, ConnectionOpened
+from rosemaryweir.node.state import Lease
+from rosemaryweir.targets.tests.leaf import WARM_AFTER, Leaf, config
+
+#: The deadline reaches the target with the request.
+TRAVEL = 0.001
+
+
+class Limits(RuleBasedStateMachine):
+    """A target that keeps running what it was sent, whatever closes."""
+
+    def __init__(self):
+        super().__init__()
+        self.leaf = Leaf()
+        self.running = {}
+        self.connected = set()
+        self.seen = 0
+        self.asked = []
+        self.incarnation = 1
+        self.served = 0
+        self.slots = 3
+        self.over_config = set()
+        self.sync()
+
+    @initialize(warm=st.booleans())
+    def warm_up(self, warm):
+        for _ in range(30 if warm else 0):
+            self.burst(1)
+            self.pass_time(0.01)
+            self.answer(0, 'ok')
+
+    def sync(self):
+        """Let the target take what was sent and notice closings."""
+        leaf = self.leaf
+        for send in leaf.sends[self.seen :]:
+            assert leaf.state.may_start(leaf.now)
+            assert send.conn in self.connected
+            busy = [each.conn for each in self.running.values()]
+            assert send.conn not in busy
+            assert send.attempt not in self.running
+            self.running[send.attempt] = send
+            limit = self.slots if self.served >= WARM_AFTER else 1
+            assert len(self.running) <= limit
+        self.seen = len(leaf.sends)
+        for action in leaf.closed:
+            self.connected.discard(action.conn)
+        self.expire()
+
+    def expire(self):
+        for attempt, send in tuple(self.running.items()):
+            if send.deadline + TRAVEL <= self.leaf.now:
+                del self.running[attempt]
+
+    @rule(wait=st.sampled_from([0.001, 0.01, 0.01, 0.05, 0.3, 2.5]))
+    def pass_time(self, wait):
+        end = self.leaf.now + wait
+        while self.leaf.now < end:
+            wake = self.leaf.node.next_wake()
+            self.leaf.to(min(end, max(wake, self.leaf.now)))
+            self.sync()
+
+    @rule(remaining=st.sampled_from([20.0, 200.0, 1000.0, 5000.0]))
+    def ask(self, remaining):
+        self.asked.append(self.leaf.ask(remaining_ms=remaining))
+        self.sync()
+
+    @rule(count=st.integers(1, 5))
+    def burst(self, count):
+        """Ask several times with all connections working."""
+        for _ in range(count):
+            self.ask(1000.0)
+            for _ in range(4):
+                if self.leaf.opening:
+                    self.connect(1)
+                    self.pass_time(0.003)
+
+    @rule(remaining=st.sampled_from([0.0, 200.0, 1000.0]))
+    def order(self, remaining):
+        self.leaf.order(f'o{len(self.asked)}', remaining_ms=remaining)
+        self.sync()
+
+    @precondition(lambda self: self.leaf.opening)
+    @rule(works=st.integers(0, 3))
+    def connect(self, works):
+        action = self.leaf.opening.pop(0)
+        if works:
+            self.connected.add(action.conn)
+            self.leaf.give(ConnectionOpened(action.conn, 't'))
+        else:
+            self.leaf.give(ConnectionFailed(action.conn, 't', 'refused'))
+        self.sync()
+
+    @precondition(lambda self: self.running)
+    @rule(
+        index=st.integers(0, 5),
+        status=st.sampled_from(['ok', 'ok', 'ok', 'ok', 'shed', 'cancelled']),
+    )
+    def answer(self, index, status):
+        sends = tuple(self.running.values())
+        send = sends[index % len(sends)]
+        del self.running[send.attempt]
+        self.served += status == 'ok'
+        if send.conn in self.connected:
+            self.leaf.reply(send, status, self.incarnation)
+        self.sync()
+
+    @precondition(lambda self: self.connected)
+    @rule(index=st.integers(0, 9), attempt=st.sampled_from(['', 'other']))
+    def stray_reply(self, index, attempt):
+        conn = sorted(self.connected)[index % len(self.connected)]
+        for send in self.leaf.sends[-1:]:
+            stray = send._replace(conn=conn, attempt=attempt)
+            self.leaf.reply(stray, 'ok', self.incarnation)
+        self.sync()
+
+    @precondition(lambda self: self.connected)
+    @rule(index=st.integers(0, 9))
+    def cut(self, index):
+        conn = sorted(self.connected)[index % len(self.connected)]
+        self.connected.discard(conn)
+        self.leaf.hang_up(conn, idle=False)
+        self.sync()
+
+    @precondition(lambda self: self.asked)
+    @rule(index=st.integers(0, 99))
+    def cancel(self, index):
+        self.leaf.cancel(self.asked[index % len(self.asked)])
+        self.sync()
+
+    @rule()
+    def restart(self):
+        self.running.clear()
+        self.served = 0
+        self.incarnation += 1
+        for conn in sorted(self.connected):
+            self.connected.discard(conn)
+            self.leaf.hang_up(conn, idle=False)
+        self.sync()
+
+    @rule(lapse=st.booleans())
+    def lease(self, lapse):
+        until = self.leaf.now if lapse else float('inf')
+        self.leaf.state.lease = Lease(until, '')
+        self.sync()
+
+    @rule(state=st.sampled_from(['in', 'in', 'in', 'out']))
+    def reconfigure(self, state):
+        generation = self.leaf.state.config['generation'] + 1
+        self.leaf.state.take_config(config(generation, state))
+        self.sync()
+
+    @invariant()
+    def connections_within_budget(self):
+        assert len(self.connected) + len(self.leaf.opening) <= 10
+
+    @invariant()
+    def one_result_each(self):
+        told = Counter(
+            piece['attempt']
+            for message in self.leaf.messages
+            if message['kind'] == 'partials'
+            for piece in message['pieces']
+        )
+        assert not [each for each, count in told.items() if count > 1]
+        assert set(told) <= set(self.asked)
+
+    @invariant()
+    def nothing_failed_inside(self):
+        numbers = [getattr(each, 'number', 0) for each in self.leaf.others]
+        assert 100 not in numbers
+
+    def teardown(self):
+        """Everything asked gets its answer by its deadline."""
+        for _ in range(60):
+            self.pass_time(0.05)
+        leaf = self.leaf
+        assert set(leaf.outcomes()) == set(self.asked)
+        assert not leaf.account().slots.held(leaf.now) if self.asked else True
+        assert not leaf.part.dispatcher.works
+
+
+Limits.TestCase.settings = settings(
+    max_examples=150,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+)
+TestLimits = Limits.TestCase
