Tests of the daemons over real sockets; signals before listening

Cause: entry, leaf, load and the programs had no tests. Found and mended: SIGTERM in the moment between listening and installing the handler killed the process (exit -15); handlers now come first.

--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -15,6 +15,7 @@
 from benchmarks.path_tier import LoopThread, Tier, path_config
 from benchmarks.report import Check, Report, at_least, benchmark
 from rosemaryweir.daemons.logs import configure_logs
+from rosemaryweir.schema.generated.config import Config
 from rosemaryweir.transport.exchange import encode_json
 from rosemaryweir.transport.fetch import HttpPool
 
@@ -58,10 +59,15 @@
 class _Callers:
     """Sends queries through the tier or straight to the targets."""
 
-    def __init__(self, tier: Tier, caller: LoopThread) -> None:
+    def __init__(
+        self,
+        tier: Tier,
+        caller: LoopThread,
+        config: Config,
+    ) -> None:
         self._tier = tier
         self._caller = caller
-        self._config = path_config(FAN_OUTS)
+        self._config = config
         self._pool = HttpPool()
 
     def wait_ready(self) -> bool:
@@ -155,9 +161,10 @@
 def run(seed: int, quick: bool) -> Report:
     """Measure the cost of the path against fan-out."""
     configure_logs('error')
-    tier = Tier(path_config(FAN_OUTS), MEDIAN_MS)
+    config = path_config(FAN_OUTS)
+    tier = Tier(config, MEDIAN_MS)
     caller = LoopThread('caller')
-    callers = _Callers(tier, caller)
+    callers = _Callers(tier, caller, config)
     pieces = QUICK_PIECES if quick else WHOLE_PIECES
     counts = {x: max(pieces // x, 10) for x in FAN_OUTS}
     counts[1] = min(counts[1], pieces // 2)
--- a/benchmarks/path_tier.py
+++ b/benchmarks/path_tier.py
@@ -21,20 +21,29 @@
     Configured,
     Grant,
     Member,
+    Pulse,
     View,
     Viewed,
 )
 from rosemaryweir.schema.generated.settings import Settings
+from rosemaryweir.standin.ports import free_addresses
 from rosemaryweir.standin.target_group import TargetGroup
 from rosemaryweir.transport.peers import PeerPort
 
-__all__ = ['DOMAIN', 'LoopThread', 'StaticAgent', 'Tier', 'path_config']
+__all__ = [
+    'DOMAIN',
+    'LoopThread',
+    'StaticAgent',
+    'Tier',
+    'path_config',
+    'path_settings',
+]
 
 DOMAIN = 'nordvest-a'
 VM = 'vm-1'
 LEASE_MS = 5000
-FIRST_PORT = 13100
-FIRST_TARGET_PORT = 13200
+TIER_PORTS = 13100
+TARGET_PORTS = 13200
 CALL_SECONDS = 60
 SLOTS = 4
 CONNECTIONS = 30
@@ -106,6 +115,7 @@
             reason='',
             generation=self._config['generation'],
             suspended=[],
+            pulses=[self._pulse()],
         )
         self._answer(event, grant)
 
@@ -116,6 +126,16 @@
         deadline = self._clock.monotonic() + 1
         self._port.send(SendPeer(event.sender, address, message, deadline))
 
+    def _pulse(self) -> Pulse:
+        return Pulse(
+            vm=self._settings['vm'],
+            load=0.0,
+            serving=True,
+            leaving=False,
+            generation=self._config['generation'],
+            age_ms=0.0,
+        )
+
     def _configured(self) -> Configured:
         return Configured(
             kind='configured',
@@ -141,7 +161,7 @@
     """Targets, agent, entry and leaf, each on a thread."""
 
     def __init__(self, config: Config, median_ms: float) -> None:
-        self.settings = _settings()
+        self.settings = path_settings()
         self.outside = LoopThread('outside')
         self.nodes = {role: LoopThread(role) for role in ('entry', 'leaf')}
         options: Any = {'timing': {'median_ms': median_ms, 'sigma': 0.0}}
@@ -188,7 +208,10 @@
         await process.start()
 
 
-def path_config(fan_outs: tuple[int, ...]) -> Config:
+def path_config(
+    fan_outs: tuple[int, ...],
+    start: int = TARGET_PORTS,
+) -> Config:
     """Return a configuration with one service for each fan-out."""
     services = {
         f'fan-{size}': Service(
@@ -209,17 +232,15 @@
     names = [
         f'fan-{size}-{number}' for size in fan_outs for number in range(size)
     ]
+    addresses = free_addresses(len(names), start)
     return Config(
         generation=1,
         note='path',
         format=CONFIG_FORMAT,
         services=services,
         targets={
-            name: Target(
-                address=f'127.0.0.1:{FIRST_TARGET_PORT + number}',
-                domain=DOMAIN,
-            )
-            for number, name in enumerate(names)
+            name: Target(address=address, domain=DOMAIN)
+            for name, address in zip(names, addresses, strict=True)
         },
         domains={DOMAIN: {'region': 'north', 'state': 'in'}},
         classes={
@@ -233,7 +254,11 @@
     )
 
 
-def _settings() -> Settings:
+def path_settings(
+    store: str = '127.0.0.1:9',
+    start: int = TIER_PORTS,
+) -> Settings:
+    """Return the settings of the VM."""
     names = (
         'entry_http',
         'entry_peer',
@@ -241,16 +266,15 @@
         'agent_peer',
         'agent_http',
     )
-    addresses: Any = {
-        name: f'127.0.0.1:{FIRST_PORT + number}'
-        for number, name in enumerate(names)
-    }
+    addresses: Any = dict(
+        zip(names, free_addresses(len(names), start), strict=True),
+    )
     return Settings(
         vm=VM,
         domain=DOMAIN,
         region='north',
         addresses=addresses,
-        store='127.0.0.1:9',
+        store=store,
         seeds=[],
         log_level='error',
     )
--- a/rosemaryweir/daemons/process.py
+++ b/rosemaryweir/daemons/process.py
@@ -104,11 +104,14 @@
         self._log.event(STARTED, used)
         self.driver.start()
 
-    async def run(self) -> int:
-        """Run until the node ends or is told to; return the exit code."""
+    def take_signals(self) -> None:
+        """Let SIGTERM and SIGINT begin a graceful shutdown."""
         loop = asyncio.get_running_loop()
         for name in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(name, self.shutdown)
+
+    async def run(self) -> int:
+        """Run until the node ends or is told to; return the exit code."""
         code = await self.driver.finished
         await self.stop()
         self._log.event(STOPPED, {'code': code})
@@ -174,5 +177,8 @@
 
 async def _run(settings: Settings, role: str) -> int:
     process = Process(settings, role)
+    # Before the first address is listened on: whoever sees the process stand
+    # may tell it to end.
+    process.take_signals()
     await process.start()
     return await process.run()
--- /dev/null
+++ b/rosemaryweir/daemons/tests/test_driver.py
@@ -0,0 +1,138 @@
+"""The driver: order of events, failures of actions, the timer."""
+
+import asyncio
+from random import Random
+
+from rosemaryweir.daemons.clock import SystemClock
+from rosemaryweir.daemons.driver import ACTION_FAILED, EVENT_FAILED, Driver
+from rosemaryweir.daemons.metrics import Metrics
+from rosemaryweir.node.action import Metric, SendPeer, StoreGet
+from rosemaryweir.node.event import (
+    CallerRequest,
+    PeerMessage,
+    ShutdownAsked,
+    StoreFailed,
+)
+from rosemaryweir.node.node import Node
+from rosemaryweir.node.part import Part, handles
+from rosemaryweir.node.state import NodeState, NodeUid
+
+
+class Scripted(Part):
+    """Notes what it is told; answers by script."""
+
+    def __init__(self, state, rng):
+        super().__init__(state, rng)
+        self.seen = []
+        self.due = None
+
+    @handles(CallerRequest)
+    def take(self, event, now):
+        self.seen.append(event)
+        yield Metric('time', 'query', 5.0, {'class': 'a'})
+        yield StoreGet('x:1', 'key')
+        yield SendPeer('vm/leaf', 'nowhere', {}, now + 1)
+        yield StoreGet('x:2', 'key')
+
+    @handles(StoreFailed)
+    def failed(self, event, now):
+        self.seen.append(event)
+        return ()
+
+    def next_wake(self):
+        return self.due
+
+    def wake(self, now):
+        self.seen.append('wake')
+        self.due = None
+        return ()
+
+    def status(self, now):
+        raise RuntimeError('no status')
+
+
+class Ports:
+    """Answers store calls at once; fails to send."""
+
+    def __init__(self):
+        self.driver = None
+
+    def call(self, action):
+        self.driver.post(StoreFailed(action.call, 'unavailable'))
+
+    def send(self, action):
+        raise OSError('no route')
+
+
+class Log:
+    def __init__(self):
+        self.numbers = []
+
+    def write(self, action):
+        self.numbers.append(action.number)
+
+    def event(self, number, fields):
+        self.numbers.append(number)
+
+
+def run(scenario):
+    async def driven():
+        state = NodeState(NodeUid('vm', 'entry', 1), {})
+        part = Scripted(state, Random(1))
+        log, metrics, ports = Log(), Metrics('entry'), Ports()
+        driver = Driver(Node(state, [part]), SystemClock(), log, metrics)
+        driver.connect(lambda action: None, ports, ports, ports)
+        ports.driver = driver
+        async with asyncio.timeout(5):
+            await scenario(driver, part, log, metrics)
+        driver.close()
+
+    asyncio.run(driven())
+
+
+def test_answers_that_come_at_once_wait_their_turn():
+    async def scenario(driver, part, log, metrics):
+        request = CallerRequest(1, 'query', {})
+        driver.post(request)
+        assert part.seen == [
+            request,
+            StoreFailed('x:1', 'unavailable'),
+            StoreFailed('x:2', 'unavailable'),
+        ]
+        assert log.numbers == [ACTION_FAILED]
+        assert metrics.histograms.summary('query', **{'class': 'a'}).total == 1
+
+    run(scenario)
+
+
+def test_an_exception_in_the_node_drops_the_one_event():
+    async def scenario(driver, part, log, metrics):
+        driver.post(CallerRequest(1, 'status', {}))
+        assert log.numbers == [EVENT_FAILED]
+        driver.post(StoreFailed('x:1', 'unknown'))
+        assert part.seen == [StoreFailed('x:1', 'unknown')]
+
+    run(scenario)
+
+
+def test_wakes_at_the_time_the_node_names_also_in_the_past():
+    async def scenario(driver, part, log, metrics):
+        part.due = SystemClock().monotonic() - 5
+        driver.post(PeerMessage('vm/leaf', 1, {'kind': 'x'}))
+        while part.seen != ['wake']:
+            await asyncio.sleep(0.001)
+        part.due = SystemClock().monotonic() + 0.02
+        driver.start()
+        while part.seen != ['wake', 'wake']:
+            await asyncio.sleep(0.001)
+        assert SystemClock().monotonic() >= 0
+
+    run(scenario)
+
+
+def test_exit_ends_with_code_zero():
+    async def scenario(driver, part, log, metrics):
+        driver.post(ShutdownAsked())
+        assert await driver.finished == 0
+
+    run(scenario)
