Processes over real sockets: kill -9 of an entry, leaf or agent

Cause: the promise that a killed process leaves every answer truthful had no test over real sockets. Change: three VMs, store and targets as processes; a role of one VM is killed while queries and orders (each asked at two VMs) go on; coverage must add up, no order may run twice, SIGTERM must end every process with code 0.

--- /dev/null
+++ b/rosemaryweir/daemons/tests/test_processes.py
@@ -0,0 +1,157 @@
+"""Plain processes over real sockets: kill -9 leaves every answer truthful."""
+
+import json
+import signal
+import subprocess
+import sys
+import time
+
+import pytest
+
+from rosemaryweir.cli.client import call
+from rosemaryweir.testing.deployment import (
+    DEPLOYMENTS,
+    ServiceSize,
+    config_of,
+    note_of,
+    vm_settings,
+)
+
+#: Each case has its own loopback address, so that cases run side by side.
+HOSTS = {'entry': '127.0.7.1', 'leaf': '127.0.7.2', 'agent': '127.0.7.3'}
+PATIENCE_S = 60.0
+DEPLOYMENT = DEPLOYMENTS['haeparam']._replace(
+    services=(
+        ServiceSize('crew-brief', 'query', 4, 3, 2, 25, 1.0, warm_after=2),
+        ServiceSize('parts-ledger', 'order', 1, 3, 4, 45, 1.0),
+    ),
+)
+
+
+class Processes:
+    """Three VMs, the store and the targets as processes."""
+
+    def __init__(self, folder, host):
+        self.folder = folder
+        self.host = host
+        store = f'{host}:11999'
+        self.running = {}
+        self.settings = vm_settings(DEPLOYMENT, 3, store=store, host=host)
+        targets = self.write('targets', config_of(DEPLOYMENT, host=host))
+        standin = 'rosemaryweir.standin.main'
+        self.launch('store', standin, 'store', '--address', store)
+        self.launch('targets', standin, 'targets', '--config', targets)
+        for each in self.settings:
+            path = self.write(each['vm'], each)
+            for role in ('agent', 'leaf', 'entry'):
+                name = f'{each["vm"]}/{role}'
+                module = f'rosemaryweir.daemons.{role}'
+                self.launch(name, module, '--settings', path)
+
+    def write(self, name, content):
+        path = self.folder / f'{name}.json'
+        path.write_text(json.dumps(content))
+        return str(path)
+
+    def launch(self, name, module, *args):
+        log = (self.folder / 'log').open('ab')
+        command = (sys.executable, '-m', module, *args)
+        self.running[name] = subprocess.Popen(command, stdout=log, stderr=log)
+
+    def kill(self, name):
+        process = self.running.pop(name)
+        process.kill()
+        process.wait()
+
+    def shut_down(self):
+        """Ask the VMs' processes to end; return their exit codes."""
+        vms = [name for name in self.running if '/' in name]
+        for name in vms:
+            self.running[name].send_signal(signal.SIGTERM)
+        return {name: self.running[name].wait(PATIENCE_S) for name in vms}
+
+    def end(self):
+        for process in self.running.values():
+            process.kill()
+            process.wait()
+
+    def entry(self, index):
+        return self.settings[index]['addresses']['entry_http']
+
+    def query(self, index):
+        body = {'service': 'crew-brief', 'query': 'bolt', 'deadline_ms': 1000}
+        return call(self.entry(index), 'POST', '/v1/query', body).value_or(None)
+
+    def order(self, index, key):
+        body = {
+            'service': 'parts-ledger',
+            'order_key': key,
+            'body': key,
+            'deadline_ms': 1000,
+        }
+        return call(self.entry(index), 'POST', '/v1/order', body).value_or(None)
+
+    def until_complete(self, index):
+        ends = time.monotonic() + PATIENCE_S
+        while time.monotonic() < ends:
+            answer = self.query(index)
+            if answer and answer.body.get('outcome') == 'complete':
+                return
+            time.sleep(0.2)
+        pytest.fail(f'no complete answer: {(self.folder / "log").read_text()}')
+
+    def apply(self, note):
+        address = self.settings[0]['addresses']['agent_http']
+        ends = time.monotonic() + PATIENCE_S
+        while time.monotonic() < ends:
+            answer = call(address, 'POST', '/v1/notes', note).value_or(None)
+            if answer and answer.status == 200:
+                return
+            time.sleep(0.2)
+        pytest.fail('the release note was not accepted')
+
+
+@pytest.fixture
+def processes(tmp_path, role):
+    standing = Processes(tmp_path, HOSTS[role])
+    yield standing
+    standing.end()
+
+
+def assert_truthful(answer):
+    """Hold one answer to a query against what it says of itself."""
+    if answer is None or answer.status != 200:
+        return
+    coverage = answer.body['coverage']
+    shards = {row['shard'] for row in answer.body['rows']}
+    assert len(shards) == coverage['covered']
+    assert coverage['covered'] + len(coverage['missing']) == coverage['total']
+    assert coverage['total'] == 4
+    assert not shards & set(coverage['missing'])
+
+
+@pytest.mark.parametrize('role', ['entry', 'leaf', 'agent'])
+def test_kill_of_a_process_leaves_answers_truthful(processes, role):
+    processes.apply(note_of(DEPLOYMENT, host=processes.host))
+    processes.until_complete(0)
+    outcomes = {}
+    for step in range(30):
+        if step == 10:
+            processes.kill(f'vm-001/{role}')
+        assert_truthful(processes.query(step % 3))
+        for index in (step % 3, (step + 1) % 3):
+            answer = processes.order(index, f'order-{step}')
+            if answer is not None:
+                outcomes.setdefault(step, []).append(answer.body)
+    processes.until_complete(0)
+    done = [
+        bodies
+        for bodies in outcomes.values()
+        if any(body.get('outcome') == 'done' for body in bodies)
+    ]
+    assert len(done) > 10
+    config = config_of(DEPLOYMENT, host=processes.host)
+    target = next(iter(config['targets'].values()))
+    stats = call(target['address'], 'GET', '/admin/stats').unwrap().body
+    assert stats['doubled'] == 0
+    assert set(processes.shut_down().values()) == {0}
--- a/rosemaryweir/testing/deployment.py
+++ b/rosemaryweir/testing/deployment.py
@@ -28,6 +28,7 @@
     'vm_settings',
 ]
 
+LOOPBACK = '127.0.0.1'
 FIRST_TARGET_PORT = 20000
 FIRST_VM_PORT = 12000
 PORTS_PER_VM = 10
@@ -141,8 +142,12 @@
     ]
 
 
-def config_of(deployment: Deployment, generation: int = 1) -> Config:
-    """Return the configuration of a deployment."""
+def config_of(
+    deployment: Deployment,
+    generation: int = 1,
+    host: str = LOOPBACK,
+) -> Config:
+    """Return the configuration of a deployment, its targets on one host."""
     names = [
         (name, replica)
         for size in deployment.services
@@ -156,7 +161,7 @@
         services={size.name: _service(size) for size in deployment.services},
         targets={
             name: Target(
-                address=f'127.0.0.1:{FIRST_TARGET_PORT + port}',
+                address=f'{host}:{FIRST_TARGET_PORT + port}',
                 domain=domains[replica % len(domains)],
             )
             for port, (name, replica) in enumerate(names)
@@ -167,9 +172,9 @@
     )
 
 
-def note_of(deployment: Deployment) -> ReleaseNote:
+def note_of(deployment: Deployment, host: str = LOOPBACK) -> ReleaseNote:
     """Return the release note that creates a deployment on an empty base."""
-    config = config_of(deployment)
+    config = config_of(deployment, host=host)
     return ReleaseNote(
         note=config['note'],
         format=1,
@@ -199,7 +204,7 @@
     deployment: Deployment,
     vms: int,
     store: str = '127.0.0.1:11999',
-    host: str = '127.0.0.1',
+    host: str = LOOPBACK,
 ) -> list[Settings]:
     """Return the settings of so many VMs, spread over the failure domains.
 
