Warmth: one reply of three means is the first sign; two fast ones clear it

Cause: a cumulative sum with a higher threshold let two or three slow replies pass before the limit fell, and could clear a cold target by its decay alone. Change: sign from one reply of three means or several of 1.8; cleared only by two replies under 0.85 of the mean, which a target three times slower does not give.

--- a/rosemaryweir/targets/latency.py
+++ b/rosemaryweir/targets/latency.py
@@ -2,8 +2,8 @@
 
 __all__ = ['Latency']
 
-MEAN_GAIN = 1 / 16
-DEVIATION_GAIN = 1 / 8
+MEAN_GAIN = 1 / 32
+DEVIATION_GAIN = 1 / 16
 
 
 class Latency:
--- a/rosemaryweir/targets/warmth.py
+++ b/rosemaryweir/targets/warmth.py
@@ -5,8 +5,9 @@
 target has turned cold: a break (a reset, a newer incarnation), or latencies
 that no longer fit its warm history.
 
-The latencies go through a cumulative sum test, which sees a lasting change
-within a few replies and lets single slow replies pass.
+One slow reply, or a few slower than usual, make a target suspect: it gets no
+more than a cold one.  Fast replies, such as a cold target does not give, clear
+it; more slow ones confirm it.
 """
 
 from rosemaryweir.targets.latency import Latency
@@ -16,10 +17,15 @@
 
 #: A latency above so many means speaks for cold, below it for warm.
 RATIO_NEUTRAL = 1.8
-#: Sums of excess ratios from which a target is suspected, and judged, cold.
-SUSPECTED = 2.0
+#: No single latency counts as more means.
+RATIO_CAP = 4.0
+#: Sums of excess ratios from which a target is suspected, and judged, cold:
+#: one reply of three means is enough for the former.
+SUSPECTED = 1.2
 CONFIRMED = 5.0
-SUM_CAP = 8.0
+#: So many replies that take less than this share of the mean clear a target.
+FAST_RATIO = 0.85
+FAST_MIN = 2
 #: Replies before a history can be compared with.
 HISTORY_MIN = 8
 #: A target as slow as ever after so many times ``warm_after`` replies is
@@ -48,25 +54,31 @@
     3
     """
 
-    __slots__ = ('_excess', '_limit', '_replies', 'cold', 'history', 'limits')
+    __slots__ = (
+        '_excess',
+        '_fast',
+        '_limit',
+        '_replies',
+        'cold',
+        'history',
+        'limits',
+        'suspected',
+    )
 
     def __init__(self, limits: Limits) -> None:
         self.limits = limits
         self.history = Latency()
         self.cold = True
+        self.suspected = False
         self._replies = 0
+        self._fast = 0
         self._excess = 0.0
         self._limit = float(limits.cold_slots)
 
-    @property
-    def suspected(self) -> bool:
-        """Whether a target that counts as warm shows signs of being cold."""
-        return self._excess >= SUSPECTED
-
     @property
     def allowed(self) -> int:
         """Requests that the target may run at once now."""
-        if self.cold or self._excess >= SUSPECTED:
+        if self.cold or self.suspected:
             return min(self.limits.cold_slots, int(self._limit))
         return int(self._limit)
 
@@ -74,7 +86,7 @@
         """Take the target for cold: its history says nothing any more."""
         self.cold = True
         self._replies = 0
-        self._excess = 0.0
+        self._clear()
         self._limit = float(self.limits.cold_slots)
 
     def refused(self) -> None:
@@ -88,7 +100,7 @@
         if self.cold:
             self._warm_up()
             return
-        if self._excess < SUSPECTED:
+        if not self.suspected:
             self.history.add(took)
             self._grow()
 
@@ -100,19 +112,31 @@
     def _compare(self, took: float) -> None:
         if self.history.count < HISTORY_MIN:
             return
-        excess = took / self.history.mean - RATIO_NEUTRAL
-        self._excess = min(SUM_CAP, max(0.0, self._excess + excess))
+        ratio = min(RATIO_CAP, took / self.history.mean)
+        self._excess = max(0.0, self._excess + ratio - RATIO_NEUTRAL)
+        if ratio < FAST_RATIO:
+            self._fast += 1
+        elif ratio > RATIO_NEUTRAL:
+            self._fast = 0
         if self._excess >= CONFIRMED and not self.cold:
-            excess = self._excess
             self.chilled()
-            self._excess = excess
+            self.suspected = True
+        elif self._excess >= SUSPECTED and not self.suspected:
+            self.suspected = True
+            self._fast = 0
+        elif self._fast >= FAST_MIN:
+            self._clear()
+
+    def _clear(self) -> None:
+        self.suspected = False
+        self._fast = 0
+        self._excess = 0.0
 
     def _warm_up(self) -> None:
         if self._replies >= RELEARN_AFTER * self.limits.warm_after:
             self.history = Latency()
-            self._excess = 0.0
-        self._limit = max(self._limit, float(self.limits.cold_slots))
-        if self._replies >= self.limits.warm_after and not self._excess:
+            self._clear()
+        if self._replies >= self.limits.warm_after and not self.suspected:
             self.cold = False
 
     def _grow(self) -> None:
