--- /dev/null
+++ b/benchmarks/query_load.py
@@ -0,0 +1,137 @@
+"""Open loads of queries on a cluster in virtual time, shared by benchmarks."""
+
+from collections.abc import Iterable, Iterator, Sequence
+from random import Random
+from typing import Any
+
+from rosemaryweir.query.service import QueryService
+from rosemaryweir.schema.generated.config import ClassPolicy
+from rosemaryweir.testing import (
+    Ask,
+    Cluster,
+    Deployment,
+    ServiceSize,
+    config_of,
+    vm_settings,
+)
+
+__all__ = [
+    'MEAN_S',
+    'SERVICE',
+    'Load',
+    'entries',
+    'make_cluster',
+    'quantile',
+    'slots_of',
+]
+
+SERVICE = 'find'
+#: Mean service time of targets whose median is 10 ms, in seconds.
+MEAN_S = 0.0122
+DOMAINS = ('a', 'b', 'c')
+VMS = 6
+#: Time after which new leaves use their targets, in seconds.
+OWNED_S = 2.5
+
+
+def make_cluster(
+    shards: int,
+    seed: int,
+    slots: int = 2,
+    policy: ClassPolicy | None = None,
+    warm: bool = True,
+) -> Cluster:
+    """Return a cluster of entries and leaves with one service."""
+    size = ServiceSize(SERVICE, 'query', shards, 3, slots, 25, 6.0, 1, 20)
+    policy = policy or ClassPolicy(
+        deadline_ms=2000,
+        answer='complete',
+        coverage_floor=0.99,
+    )
+    deployment = Deployment('bench', DOMAINS, (size,), {'default': policy})
+    cluster = Cluster(
+        vm_settings(deployment, VMS),
+        config_of(deployment),
+        seed=seed,
+        static=True,
+    )
+    if warm:
+        for target in cluster.targets.values():
+            target.cold = False
+    cluster.run(OWNED_S)
+    return cluster
+
+
+def entries(cluster: Cluster) -> Iterator[QueryService]:
+    """Yield the parts for queries of all entries."""
+    for process in cluster.processes.values():
+        if process.node.state.uid.role == 'entry':
+            yield process.node.part(QueryService)
+
+
+def slots_of(cluster: Cluster) -> int:
+    """Return the slots of all targets."""
+    return sum(target.spec.slots for target in cluster.targets.values())
+
+
+def quantile(samples: Iterable[float], share: float) -> float:
+    """Return the sample that a share of the samples does not exceed."""
+    ranked = sorted(samples)
+    return ranked[min(len(ranked) - 1, int(share * len(ranked)))]
+
+
+class Load:
+    """Callers that ask at a rate, whatever becomes of their requests.
+
+    Parameters
+    ----------
+    cluster : Cluster
+        What is asked.
+    rate : float
+        Queries a second.
+    seed : int
+        Seed of the arrivals.
+    tenants : sequence of str
+        Tenants that ask, each with the same share unless named twice.
+    """
+
+    def __init__(
+        self,
+        cluster: Cluster,
+        rate: float,
+        seed: int,
+        tenants: Sequence[str] = ('default',),
+        **more: Any,
+    ) -> None:
+        self.cluster = cluster
+        self.rate = rate
+        self.rng = Random(seed)
+        self.tenants = tenants
+        self.more = more
+        self.vms = sorted(cluster.settings)
+        self.asks: list[Ask] = []
+        self.until = 0.0
+
+    def run(self, seconds: float, settle: float = 0) -> list[Ask]:
+        """Ask for so long; return the requests of this time."""
+        first = len(self.asks)
+        self.until = self.cluster.now + seconds
+        self._next()
+        self.cluster.run(seconds + settle)
+        return self.asks[first:]
+
+    def _next(self) -> None:
+        wait = self.rng.expovariate(self.rate)
+        if self.cluster.now + wait < self.until:
+            self.cluster.scheduler.after(wait, self._ask)
+
+    def _ask(self) -> None:
+        body = {
+            'service': SERVICE,
+            'query': 'text',
+            'tenant': self.rng.choice(self.tenants),
+            **self.more,
+        }
+        vm = self.rng.choice(self.vms)
+        self.asks.append(self.cluster.ask(vm, 'query', body))
+        self._next()
--- a/rosemaryweir/query/plan.py
+++ b/rosemaryweir/query/plan.py
@@ -1,7 +1,7 @@
 """The shards of one layout, and the open replicas of each with their leaves."""
 
 from collections.abc import Mapping
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from rosemaryweir.node.state import NodeState
 from rosemaryweir.query.liveness import LeafHealth
@@ -13,6 +13,8 @@
 
 __all__ = ['Fleet', 'Plan']
 
+NOTHING: Mapping[str, int] = {}
+
 
 class Plan(NamedTuple):
     """Where the pieces of a query can run.
@@ -86,6 +88,18 @@
             self.leaves[name] = known
         return known
 
+    def take_loads(self, message: Mapping[str, Any], now: float) -> None:
+        """Take what a leaf says of the load of its targets."""
+        sights = self.sights
+        for name, pending in message.get('pending', NOTHING).items():
+            if name in sights:
+                sights[name].reported = pending
+                sights[name].reported_at = now
+        for load in message['loads']:
+            sight = sights.get(load['target'])
+            if sight is not None:
+                sight.take_load(load, now)
+
     def prune(self) -> None:
         """Forget targets and leaves that are gone and hold nothing."""
         targets = self.state.config['targets']
--- a/rosemaryweir/query/runner.py
+++ b/rosemaryweir/query/runner.py
@@ -1,5 +1,6 @@
 """Run queries: scatter, partials, hedges, retries, change of the pin."""
 
+from collections.abc import Callable, Sequence
 from random import Random
 
 from rosemaryweir.node.state import NodeState
@@ -9,6 +10,7 @@
 from rosemaryweir.query.replica import Replica, choose, choose_other
 from rosemaryweir.query.retry import backoff, elsewhere
 from rosemaryweir.query.running import NEVER, Running, Wanted
+from rosemaryweir.query.sighting import VersionKey
 from rosemaryweir.schema.generated.query import Partial
 
 __all__ = ['Runner']
@@ -23,11 +25,20 @@
 PATIENCE_FOLD = 2
 #: Later hedges of a query follow after this share of the delay.
 NEXT_DELAY_SHARE = 0.5
+#: An attempt at a target on trial is hedged after this share of the delay.
+DOUBT_SHARE = 0.4
+#: Timers of nearly the same time are taken together.
+ALMOST = 0.999
 #: A lost attempt counts as this multiple of the usual latency.
 LOST_FOLD = 3
 #: Outcomes that say that a target lacks capacity.
 REFUSED = frozenset(('shed', 'timeout'))
 
+Pick = Callable[
+    [Sequence[Replica], VersionKey, Random, float],
+    Replica | None,
+]
+
 
 class Runner:
     """Takes running queries through their events.
@@ -42,6 +53,13 @@
         Attempts in flight.
     rng : random.Random
         The source of chance.
+
+    Attributes
+    ----------
+    pick : callable
+        Chooses the replica of a first attempt.
+    first, extra : int
+        First attempts, and those beyond.
     """
 
     def __init__(
@@ -55,6 +73,7 @@
         self.fleet = fleet
         self.attempts = attempts
         self.rng = rng
+        self.pick: Pick = choose
         self.first = 0
         self.extra = 0
 
@@ -65,7 +84,7 @@
         replicas = query.plan.replicas
         key = query.key
         for shard, wanted in query.wanted.items():
-            replica = choose(replicas[shard], key, self.rng, now)
+            replica = self.pick(replicas[shard], key, self.rng, now)
             if replica is None:
                 self._postpone(wanted, now)
             else:
@@ -73,7 +92,12 @@
         count = len(query.wanted)
         self.first += count
         query.hedging.budget.earn(count)
-        query.hedge_at = now + query.hedging.delay(now)
+        delay = query.hedging.delay(now)
+        doubtful = any(
+            wanted.tried and wanted.tried[0].sight.trial
+            for wanted in query.wanted.values()
+        )
+        query.hedge_at = now + delay * (DOUBT_SHARE if doubtful else 1)
 
     def take(
         self,
@@ -138,7 +162,7 @@
         key = (piece['layout'], version)
         sight = attempt.replica.sight
         took = now - attempt.sent
-        sight.took(took, now)
+        sight.took(took, query.hedging.delay(now), now)
         query.hedging.took(took, now)
         query.lane.retries.earn()
         if sight.serves(key):
@@ -171,7 +195,8 @@
             query.lane.pin(query.scatter.layout).stale = True
         elif elsewhere(outcome):
             took = now - attempt.sent
-            sight.took(max(took, LOST_FOLD * sight.latency), now)
+            slow = query.hedging.delay(now)
+            sight.took(max(took, LOST_FOLD * sight.latency), slow, now)
         if outcome in REFUSED:
             query.refused += 1
 
@@ -263,8 +288,7 @@
             wanted
             for wanted in query.wanted.values()
             if wanted.open
-            and len(wanted.open) < MOST_OPEN
-            and now - wanted.open[-1].sent >= delay * NEXT_DELAY_SHARE
+            and self._late(wanted, delay, now)
             and not self._waits(query, wanted)
         ]
         most = max(HEDGED_LEAST, HEDGED_SHARE * len(query.plan.shards))
@@ -274,13 +298,26 @@
         for wanted in late:
             self._hedge_one(query, wanted, now)
 
+    def _late(self, wanted: Wanted, delay: float, now: float) -> bool:
+        last = wanted.open[-1]
+        count = len(wanted.open)
+        share = 1 if count == 1 else NEXT_DELAY_SHARE
+        if last.replica.sight.trial or last.replica.sight.weight > 1:
+            share = DOUBT_SHARE
+        waited = now - last.sent
+        return count < MOST_OPEN and waited >= delay * share * ALMOST
+
     def _waits(self, query: Running, wanted: Wanted) -> bool:
         """Return whether a shard has answered and waits for the pin."""
         return not query.version and wanted.shard not in query.unheard
 
     def _hedge_one(self, query: Running, wanted: Wanted, now: float) -> None:
         replica = self._other(query, wanted, now)
-        if replica is not None and query.hedging.budget.spend():
+        # A hedge that has to wait runs at the same time as the first attempt
+        # and only takes capacity from the shard.
+        if replica is None or not replica.sight.has_room:
+            return
+        if query.hedging.budget.spend():
             self.extra += 1
             self._send(query, wanted, replica, now)
 
@@ -302,9 +339,10 @@
         query.outbox.send(attempt)
 
     def _cancel(self, query: Running, wanted: Wanted, now: float) -> None:
+        slow = query.hedging.delay(now)
         for attempt in wanted.open:
             query.ran = True
             self.attempts.settle(attempt)
-            attempt.replica.sight.at_least(now - attempt.sent, now)
+            attempt.replica.sight.at_least(now - attempt.sent, slow, now)
             query.outbox.cancel(attempt)
         wanted.open.clear()
--- a/rosemaryweir/query/service.py
+++ b/rosemaryweir/query/service.py
@@ -122,10 +122,7 @@
         message = event.message
         health = self.fleet.leaf(event.sender)
         restarted = health.restarted(event.incarnation)
-        for load in message['loads']:
-            sight = self.fleet.sights.get(load['target'])
-            if sight is not None:
-                sight.take_load(load, now)
+        self.fleet.take_loads(message, now)
         query = self.running.get(message['query'])
         strays = self.attempts.strays
         for piece in message['pieces']:
--- a/rosemaryweir/query/sighting.py
+++ b/rosemaryweir/query/sighting.py
@@ -8,9 +8,15 @@
 VersionKey = tuple[int, int]
 
 #: Weight of a new latency in the running mean.
-NEW_SHARE = 0.15
+NEW_SHARE = 0.05
+#: Weight of a new attempt in the share of late ones.
+NEW_LATE_SHARE = 0.2
+#: Share of late attempts from which a target is slow.
+LATE_SHARE = 0.5
 #: Latency assumed of a target that has not answered yet, in seconds.
 UNKNOWN_LATENCY_S = 0.01
+#: An attempt given up counts as this multiple of the time waited for it.
+GIVEN_UP_FOLD = 2
 #: How long a refusal of a version that may still arrive holds, in seconds.
 REFUSAL_S = 1
 #: Versions that are remembered for a target.
@@ -30,6 +36,8 @@
         Requests that it may run at once, as its leaf last said.
     latency : float
         Running mean of the latency, in seconds.
+    late : float
+        Share of the latest attempts that were late.
     samples : int
         Latencies in the mean.
     seen : float
@@ -42,6 +50,7 @@
 
     __slots__ = (
         'current',
+        'late',
         'latency',
         'limit',
         'own',
@@ -63,6 +72,7 @@
         self.reported = 0
         self.reported_at = 0.0
         self.latency = UNKNOWN_LATENCY_S
+        self.late = 0.0
         self.samples = 0
         self.seen = 0.0
         self.weight = 1.0
@@ -76,22 +86,38 @@
         """Requests that stand before the next one."""
         return max(self.own, self.reported)
 
-    def took(self, latency: float, now: float) -> None:
-        """Count the latency of an attempt."""
+    @property
+    def slow(self) -> bool:
+        """Whether most of its latest attempts were late."""
+        return self.late > LATE_SHARE
+
+    @property
+    def has_room(self) -> bool:
+        """Whether another request would run at once."""
+        return self.pending < self.limit
+
+    def took(self, latency: float, slow: float, now: float) -> None:
+        """Count the latency of an attempt.
+
+        It was late if it took longer than `slow`, which nearly all attempts
+        at other targets do not.
+        """
         self.trial = False
         self.seen = now
         self.samples += 1
         share = max(NEW_SHARE, 1 / self.samples)
         self.latency += (latency - self.latency) * share
+        self.late += ((latency > slow) - self.late) * NEW_LATE_SHARE
 
-    def at_least(self, latency: float, now: float) -> None:
+    def at_least(self, latency: float, slow: float, now: float) -> None:
         """Count an attempt that was given up after some time."""
-        if latency > self.latency:
-            self.took(latency, now)
+        if latency > slow or latency > self.latency:
+            self.took(latency * GIVEN_UP_FOLD, slow * GIVEN_UP_FOLD, now)
 
     def forget(self, prior: float) -> None:
         """Forget the latency: the target is tried one attempt at a time."""
         self.latency = prior
+        self.late = min(self.late, LATE_SHARE)
         self.samples = 0
         self.weight = 1
         self.trial = True
--- a/rosemaryweir/query/straggler.py
+++ b/rosemaryweir/query/straggler.py
@@ -1,4 +1,8 @@
-"""Eject stragglers, never so many that a shard is left without a target."""
+"""Eject stragglers, never most targets of a shard.
+
+Targets that bear the load of ejected ones get slower for that alone; if they
+were ejected in turn, the last one of the shard would be pushed over.
+"""
 
 from collections.abc import Iterable, Sequence
 from itertools import chain
@@ -9,7 +13,7 @@
 __all__ = ['CHECK_INTERVAL_S', 'eject']
 
 #: Interval between checks, in seconds.
-CHECK_INTERVAL_S = 0.25
+CHECK_INTERVAL_S = 0.1
 #: A straggler is slower than the median by this factor.
 SLOW_FOLD = 4
 #: Latencies that must have been seen of a straggler.
@@ -48,7 +52,8 @@
 
 
 def _slow(seen: Sighting, usual: float) -> bool:
-    return seen.samples >= LEAST_SAMPLES and seen.latency > SLOW_FOLD * usual
+    far_off = seen.latency > SLOW_FOLD * usual
+    return seen.slow or (seen.samples >= LEAST_SAMPLES and far_off)
 
 
 def _capped(
@@ -69,9 +74,9 @@
 
 
 def _spared(seen: Sighting, groups: Iterable[Sequence[Sighting]]) -> bool:
-    """Return whether each shard keeps another target without it."""
+    """Return whether each shard keeps most of its targets without it."""
     return all(
-        any(other is not seen and other.weight == 1 for other in group)
+        2 * (sum(other.weight > 1 for other in group) + 1) < len(group)
         for group in groups
     )
 
--- a/rosemaryweir/query/tests/test_choice.py
+++ b/rosemaryweir/query/tests/test_choice.py
@@ -92,13 +92,13 @@
     assert choose([one, other], KEY, Random(1), 1.4) is one
 
 
-def test_ejection_leaves_each_shard_a_target():
-    sights = [seen_with(f't{number}', 5) for number in range(10)]
+def test_ejection_leaves_each_shard_most_of_its_targets():
+    sights = [seen_with(f't{number}', 5) for number in range(15)]
     for sight in sights:
         for _ in range(5):
-            sight.took(0.1 if sight.target in {'t0', 't1'} else 0.01, 1.0)
-    pairs = list(zip(sights[::2], sights[1::2], strict=True))
-    assert eject(pairs, 1.0) == ['t0']
+            sight.took(0.1 if sight in sights[:2] else 0.01, 0.05, 1.0)
+    shards = list(zip(sights[::3], sights[1::3], sights[2::3], strict=True))
+    assert eject(shards, 1.0) == ['t0']
     assert sights[1].weight == 1
 
 
@@ -106,16 +106,16 @@
     sights = [seen_with(f't{number}', 5) for number in range(10)]
     for sight in sights:
         for _ in range(5):
-            sight.took(0.1 if sight in sights[:4] else 0.01, 1.0)
+            sight.took(0.1 if sight in sights[:4] else 0.01, 0.05, 1.0)
     assert len(eject([sights], 1.0)) == 2
 
 
 def test_silent_straggler_is_tried_again_alone():
     sights = [seen_with(f't{number}', 5) for number in range(5)]
     for sight in sights:
-        sight.took(0.1 if sight is sights[0] else 0.01, 1.0)
+        sight.took(0.1 if sight is sights[0] else 0.01, 0.05, 1.0)
     for sight in sights[1:]:
-        sight.took(0.01, 8.0)
+        sight.took(0.01, 0.05, 8.0)
     eject([sights], 8.0)
     assert sights[0].trial
     assert sights[0].latency < 0.02
--- a/rosemaryweir/targets/outbox.py
+++ b/rosemaryweir/targets/outbox.py
@@ -20,6 +20,8 @@
 MS_PER_S = 1000.0
 #: Time in which a message must leave, in s.
 SEND_WITHIN = 1.0
+#: Time between two tellings of the load of all targets to an entry, in s.
+PENDING_EVERY = 0.004
 #: Results of orders by status of the reply; the target refused the first.
 ORDER_RESULTS = {
     'shed': 'refused',
@@ -55,6 +57,7 @@
         self.orders = OrderMemory()
         self._batches: dict[tuple[str, str], Batch] = {}
         self._members: dict[str, Member] = {}
+        self._pending_due: dict[str, float] = {}
 
     def members_changed(self) -> None:
         """Look up the addresses of the members anew."""
@@ -111,7 +114,17 @@
         if batch.pending <= 0:
             self._batches.pop((batch.sender, batch.query), None)
         if batch.settled:
-            self.send(batch.sender, partials_of(batch, self._loads(now)), now)
+            message = partials_of(batch, self._loads(now))
+            if now >= self._pending_due.get(batch.sender, 0):
+                self._pending_due[batch.sender] = now + PENDING_EVERY
+                message['pending'] = self._pending(now)
+            self.send(batch.sender, message, now)
+
+    def _pending(self, now: float) -> dict[str, int]:
+        return {
+            name: account.slots.held(now) + len(account.queue)
+            for name, account in self.accounts.items()
+        }
 
     def _loads(self, now: float) -> 'LoadOf':
         return LoadOf(self.accounts, now)
