--- a/rosemaryweir/query/hedge.py
+++ b/rosemaryweir/query/hedge.py
@@ -8,7 +8,7 @@
 #: Hedges in relation to first attempts.
 BUDGET_SHARE = 0.04
 #: Hedges that may be sent at once.
-BUDGET_BURST = 30
+BUDGET_BURST = 100
 #: A piece is hedged when it takes longer than this share of pieces.
 DELAY_QUANTILE = 0.95
 #: Shortest and longest delay, in seconds.
--- a/rosemaryweir/query/runner.py
+++ b/rosemaryweir/query/runner.py
@@ -93,11 +93,9 @@
         self.first += count
         query.hedging.budget.earn(count)
         delay = query.hedging.delay(now)
-        doubtful = any(
-            wanted.tried and wanted.tried[0].sight.trial
-            for wanted in query.wanted.values()
-        )
-        query.hedge_at = now + delay * (DOUBT_SHARE if doubtful else 1)
+        if any(each.on_trial for each in query.wanted.values()):
+            delay *= DOUBT_SHARE
+        query.hedge_at = now + delay
 
     def take(
         self,
@@ -302,7 +300,7 @@
         last = wanted.open[-1]
         count = len(wanted.open)
         share = 1 if count == 1 else NEXT_DELAY_SHARE
-        if last.replica.sight.trial or last.replica.sight.weight > 1:
+        if wanted.on_trial:
             share = DOUBT_SHARE
         waited = now - last.sent
         return count < MOST_OPEN and waited >= delay * share * ALMOST
--- a/rosemaryweir/query/running.py
+++ b/rosemaryweir/query/running.py
@@ -45,6 +45,14 @@
         self.rounds = 0
         self.retry_at = NEVER
 
+    @property
+    def on_trial(self) -> bool:
+        """Whether the last attempt went to a target that is doubted."""
+        if not self.open:
+            return False
+        sight = self.open[-1].replica.sight
+        return sight.trial or sight.weight > 1
+
     def begin(self, attempt: Attempt) -> None:
         """Take an attempt that starts."""
         self.open.append(attempt)
--- a/rosemaryweir/targets/dispatcher.py
+++ b/rosemaryweir/targets/dispatcher.py
@@ -274,11 +274,9 @@
             return
         history = account.warmth.history
         waited = now - work.sent_at
-        silent = condemned(waited, work.overtaken, history)
-        if silent and work.kind == 'query':
-            self.close(account, work.conn, 'silent', now)
-            return
-        if not work.overtaken and waited >= overdue_after(history):
+        if condemned(waited, work.overtaken, history):
+            self._verify(account, work, now)
+        elif not work.overtaken and waited >= overdue_after(history):
             self._doubt(account, work, now)
         if not work.done:
             self.timers.at(
@@ -292,7 +290,17 @@
         account.doubtful[work.attempt] = work
         waited = now - work.sent_at
         overdue = overdue_after(account.warmth.history)
-        if work.kind != 'query' or waited < VERIFY_AFTER * overdue:
+        if waited >= VERIFY_AFTER * overdue:
+            self._verify(account, work, now)
+
+    def _verify(self, account: Account, work: Work, now: float) -> None:
+        """Ask the target to drop a query; close if no answer to that comes.
+
+        To close at once would be wrong: the slot of an attempt whose
+        connection closed is held until its deadline, and among many attempts
+        a few are as late as this without any fault.
+        """
+        if work.kind != 'query':
             return
         if not work.verify_at:
             work.verify_at = now + VERIFY_WITHIN
