--- a/rosemaryweir/orders/tests/rig.py
+++ b/rosemaryweir/orders/tests/rig.py
@@ -147,6 +147,7 @@
         entry, action = self.sends.pop(index)
         message = action.message
         if outcome in {'done', 'failed', 'lost after'}:
+            assert self._may_still_run(message['order_key'])
             self.runs.append(message['order_key'])
         if outcome in {'lost', 'lost after'} or not deliver:
             return
@@ -160,14 +161,14 @@
         }
         self.give(entry, PeerMessage(action.to, 1, result))
 
-    def settle(self, seconds=30.0, step=0.05):
-        """Let everything that waits succeed, until nothing does."""
+    def settle(self, seconds=30.0, step=0.05, fault='', outcome='done'):
+        """Let everything that waits go one way for a time."""
         for _ in range(int(seconds / step)):
             while self.calls or self.sends:
                 if self.calls:
-                    self.answer_store()
+                    self.answer_store(fault=fault)
                 else:
-                    self.answer_send()
+                    self.answer_send(outcome=outcome)
             self.pass_time(step)
 
     def records(self):
@@ -220,6 +221,18 @@
         self._check_history()
         return StoreReply(action.call, 'ok', (written,))
 
+    def _may_still_run(self, order_key):
+        """Return whether a request of the key was not told `not_run`."""
+        asked = [
+            self.answers.get(req)
+            for req, ask in self.asks.items()
+            if ask.order_key == order_key
+        ]
+        return any(
+            answer is None or answer.body.get('ran') != 'not_run'
+            for answer in asked
+        )
+
     def _check_history(self):
         for order_key, record in self.records().items():
             if record['state'] in {'done', 'failed', 'unknown'}:
--- a/rosemaryweir/orders/tests/test_service.py
+++ b/rosemaryweir/orders/tests/test_service.py
@@ -195,6 +195,17 @@
     assert rig.said(req) == ('deadline', 'not_run')
 
 
+def test_a_claim_withdrawn_while_it_is_written_is_released():
+    rig = Rig()
+    req = rig.ask('vm-000', deadline_ms=50)
+    rig.answer_store()
+    rig.pass_time(0.1)
+    assert rig.said(req) == ('deadline', 'not_run')
+    rig.settle(2)
+    assert rig.records()['k1']['state'] == 'released'
+    assert not rig.nodes['vm-000'].busy(rig.now)
+
+
 def test_a_dead_entrys_claim_is_unknown():
     rig = Rig()
     claimed(rig)
--- a/rosemaryweir/orders/waiting.py
+++ b/rosemaryweir/orders/waiting.py
@@ -71,8 +71,9 @@
     def drop_claim(self, attempt: str) -> Claim | None:
         """Let a claim wait no longer."""
         claim = self.claims.pop(attempt, None)
-        self.uncertain.discard(attempt)
-        self._drop_due(attempt)
+        if claim is not None:
+            self.uncertain.discard(attempt)
+            self._drop_due(attempt)
         return claim
 
     def drop_update(self, update: Update) -> None:
