Benchmark orders: every fault, callers that try again elsewhere

Cause: at most once was shown for single steps only; the cost in store writes was not known. Targets are chosen lazily, known keys are not hashed again at each read.

--- /dev/null
+++ b/benchmarks/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Faults, steps and promises of the fault matrix."""
--- /dev/null
+++ b/benchmarks/faults/storage.py
@@ -0,0 +1,69 @@
+"""Faults of the platform's store."""
+
+from random import Random
+
+from benchmarks.faults.registry import End, fault
+from rosemaryweir.testing import Cluster
+
+SLOW_S = 0.6
+LOST_SHARE = 0.6
+
+
+@fault('store down', 3.0)
+def store_down(cluster: Cluster, rng: Random) -> End:
+    """Refuse every call."""
+    cluster.store.set_down(True)
+    return lambda: cluster.store.set_down(False)
+
+
+@fault('store slow', 3.0)
+def store_slow(cluster: Cluster, rng: Random) -> End:
+    """Let calls take most of a second."""
+    usual = cluster.store.latency
+    cluster.store.latency = SLOW_S
+
+    def end() -> None:
+        cluster.store.latency = min(usual, cluster.store.latency)
+
+    return end
+
+
+@fault('store reply lost after write', 3.0)
+def reply_lost(cluster: Cluster, rng: Random) -> End:
+    """Lose the replies of writes that took effect."""
+    cluster.store.lose_replies = LOST_SHARE
+
+    def end() -> None:
+        cluster.store.lose_replies = 0.0
+
+    return end
+
+
+@fault('store write lost', 2.0)
+def write_lost(cluster: Cluster, rng: Random) -> End:
+    """Lose writes before they take effect."""
+    cluster.store.lose_writes = LOST_SHARE
+
+    def end() -> None:
+        cluster.store.lose_writes = 0.0
+
+    return end
+
+
+@fault('watch stalled', 4.0)
+def watch_stalled(cluster: Cluster, rng: Random) -> End:
+    """Keep watches open and deliver nothing."""
+    cluster.store.stalled = True
+
+    def end() -> None:
+        cluster.store.stalled = False
+
+    return end
+
+
+@fault('store out of reach of one VM', 3.0)
+def store_cut(cluster: Cluster, rng: Random) -> End:
+    """Let the calls of one VM time out."""
+    vm = rng.choice(sorted(cluster.settings))
+    cluster.store.cut.add(vm)
+    return lambda: cluster.store.cut.discard(vm)
--- /dev/null
+++ b/benchmarks/order_baselines.py
@@ -0,0 +1,133 @@
+"""Baselines of orders: no claim; a write for each claim and outcome."""
+
+import contextlib
+from collections.abc import Callable, Iterable, Iterator
+from random import Random
+
+from benchmarks.faults.catalogue import faults
+from benchmarks.order_callers import Callers, StoreLog, Wire
+from rosemaryweir.node.action import Action
+from rosemaryweir.orders import pace, waiting
+from rosemaryweir.orders.bucket import Claim
+from rosemaryweir.orders.group import Outcome, Verdict
+from rosemaryweir.orders.index import BucketIndex
+from rosemaryweir.orders.logs import BucketLogs
+from rosemaryweir.orders.service import OrderService
+from rosemaryweir.testing import Cluster
+
+__all__ = ['per_order_writes', 'unclaimed']
+
+MakeCluster = Callable[[int], tuple[Cluster, Wire, StoreLog]]
+
+COUNT = 2000
+RATE = 100.0
+UNPACED_WRITES_PER_S = 1.0e6
+
+
+class _NoClaims(BucketLogs):
+    """Grants every claim at once and records nothing."""
+
+    def __init__(self, rng: Random) -> None:
+        super().__init__(rng)
+        self._granted: list[Claim] = []
+        self._due: float | None = None
+
+    def claim(self, claim: Claim, due: float) -> None:
+        self._granted.append(claim)
+        self._due = due
+
+    def update(self, update: object, now: float) -> None:
+        """Record nothing."""
+
+    def next_wake(self) -> float | None:
+        return self._due
+
+    def start_due(self, now: float) -> Iterable[Action]:
+        return ()
+
+    def expire(self, now: float) -> Outcome:
+        granted = tuple(
+            Verdict('ours', claim.order_key, claim.attempt)
+            for claim in self._granted
+        )
+        self._granted.clear()
+        self._due = None
+        return Outcome(verdicts=granted)
+
+
+def _unclaim(cluster: Cluster) -> None:
+    for process in cluster.processes.values():
+        if process.name.endswith('/entry'):
+            desk = process.node.part(OrderService).desk
+            if not isinstance(desk.logs, _NoClaims):
+                desk.logs = _NoClaims(Random(1))
+
+
+def unclaimed(
+    seed: int,
+    make: MakeCluster,
+    services: tuple[str, ...],
+) -> dict[str, float]:
+    """Return how many orders run twice when nobody claims them."""
+    cluster, _, _ = make(seed)
+    rng = Random(seed)
+    callers = Callers(cluster, services, rng)
+    last = callers.place(COUNT, RATE)
+    known = sorted(faults().items())
+    _unclaim(cluster)
+    while cluster.now < last:
+        rng.choice(known)[1].strike(cluster, rng)
+        cluster.run(0.8)
+        _unclaim(cluster)
+    cluster.run(15)
+    runs: dict[str, int] = {}
+    for target in cluster.targets.values():
+        for each in target.runs:
+            runs[each.subject] = runs.get(each.subject, 0) + 1
+    doubled = sum(count > 1 for count in runs.values())
+    return {'orders': COUNT, 'ran_twice': doubled}
+
+
+def per_order_writes(
+    seed: int,
+    make: MakeCluster,
+    services: tuple[str, ...],
+) -> dict[str, float]:
+    """Return the writes per order when a write carries one change."""
+    with _one_change_a_write():
+        cluster, wire, _ = make(seed)
+        callers = Callers(cluster, services, Random(seed))
+        last = callers.place(COUNT, RATE)
+        cluster.run(last)
+        writes = wire.writes
+        cluster.run(10)
+    return {
+        'orders_per_s': RATE,
+        'writes_per_order': wire.writes / COUNT,
+        'writes_per_s': writes / last,
+    }
+
+
+@contextlib.contextmanager
+def _one_change_a_write() -> Iterator[None]:
+    with contextlib.ExitStack() as stack:
+        usual = waiting.Waiting.batch, pace.FLEET_WRITES_PER_S
+        waiting.Waiting.batch = _one_change  # type: ignore[method-assign]
+        stack.callback(setattr, waiting.Waiting, 'batch', usual[0])
+        pace.FLEET_WRITES_PER_S = UNPACED_WRITES_PER_S
+        stack.callback(setattr, pace, 'FLEET_WRITES_PER_S', usual[1])
+        yield
+
+
+def _one_change(
+    self: waiting.Waiting,
+    index: BucketIndex,
+    segment: int,
+) -> waiting.Batch:
+    for update in self.updates.values():
+        if index.segment_of(update.order_key) == segment:
+            return (), (update,)
+    for claim in self.claims.values():
+        if index.segment_of(claim.order_key) == segment:
+            return (claim,), ()
+    return (), ()
--- a/rosemaryweir/orders/index.py
+++ b/rosemaryweir/orders/index.py
@@ -6,6 +6,8 @@
 of their keys: no key can be claimed in two segments.
 """
 
+from itertools import islice
+
 from rosemaryweir.orders.bucket import kept_hashes
 from rosemaryweir.orders.keys import key_hash
 from rosemaryweir.schema.generated.orders import OrderBucket
@@ -28,6 +30,8 @@
         self.loaded = False
         self.last = 0
         self._segments: dict[int, int] = {}
+        self._learnt: dict[int, int] = {}
+        self._kept: dict[int, str] = {}
 
     def __len__(self) -> int:
         """Return the number of known keys."""
@@ -38,10 +42,20 @@
         return self._segments.get(key_hash(order_key), self.last)
 
     def learn(self, segment: int, bucket: OrderBucket) -> None:
-        """Take in a segment as read or written."""
-        for order_key in bucket['records']:
+        """Take in a segment as read or written.
+
+        Notes
+        -----
+        Records are only ever added at the end, until cleaning drops them all:
+        those that were there the last time need no second look.
+        """
+        records = bucket['records']
+        for order_key in islice(records, self._learnt.get(segment, 0), None):
             self._segments.setdefault(key_hash(order_key), segment)
-        for known_hash in kept_hashes(bucket):
-            self._segments.setdefault(known_hash, segment)
+        self._learnt[segment] = len(records)
+        if self._kept.get(segment, '') != bucket['kept']:
+            self._kept[segment] = bucket['kept']
+            for known_hash in kept_hashes(bucket):
+                self._segments.setdefault(known_hash, segment)
         if bucket['sealed'] and segment >= self.last:
             self.last = segment + 1
--- a/rosemaryweir/orders/target_choice.py
+++ b/rosemaryweir/orders/target_choice.py
@@ -11,7 +11,7 @@
 from rosemaryweir.schema.generated.orders import OrderSend
 from rosemaryweir.targets.ownership import owner
 
-__all__ = ['Route', 'choose_route', 'open_routes', 'send_order']
+__all__ = ['Route', 'choose_route', 'send_order']
 
 MILLIS_PER_S = 1000
 
@@ -25,18 +25,6 @@
     view: int
 
 
-def open_routes(state: NodeState, service: str) -> list[Route]:
-    """Return the targets of a service that may get new work."""
-    known = state.service(service)
-    if known is None:
-        return []
-    names = {
-        name for shard in known['shards'].values() for name in shard['targets']
-    }
-    routes = (_route(state, name) for name in sorted(names))
-    return [route for route in routes if route is not None]
-
-
 def choose_route(
     state: NodeState,
     service: str,
@@ -49,14 +37,20 @@
     Targets of the caller's failure domain go first; one that refused this
     order is not asked again.
     """
-    routes = [
-        route
-        for route in open_routes(state, service)
-        if route.target not in tried
+    known = state.service(service)
+    if known is None:
+        return None
+    names = [
+        name
+        for shard in known['shards'].values()
+        for name in shard['targets']
+        if name not in tried and state.target_open(name)
     ]
-    near = [route for route in routes if route.domain == domain]
-    pool = near or routes
-    return rng.choice(pool) if pool else None
+    rng.shuffle(names)
+    targets = state.config['targets']
+    names.sort(key=lambda name: targets[name]['domain'] != domain)
+    routes = (_route(state, name) for name in names)
+    return next((route for route in routes if route is not None), None)
 
 
 def send_order(
@@ -85,7 +79,7 @@
 
 def _route(state: NodeState, name: str) -> Route | None:
     target = state.target(name)
-    if target is None or not state.target_open(name):
+    if target is None:
         return None
     view = state.views.get(target['domain'])
     if view is None:
--- a/rosemaryweir/orders/tests/test_machine.py
+++ b/rosemaryweir/orders/tests/test_machine.py
@@ -111,6 +111,11 @@
         self.no_key_runs_twice()
         for vm, node in self.rig.nodes.items():
             assert not node.busy(self.rig.now), vm
+        alive = {node.state.uid for node in self.rig.nodes.values()}
+        prefixes = tuple(f'{uid.vm}.{uid.incarnation}.' for uid in alive)
+        for record in self.rig.records().values():
+            held = record['attempt'].startswith(prefixes)
+            assert not (held and record['state'] == 'claimed')
         assert len(self.rig.answers) == len(self.rig.asks)
         told = {
             self.rig.asks[req].order_key
