--- a/rosemaryweir/config/__init__.py
+++ b/rosemaryweir/config/__init__.py
@@ -1,1 +1,10 @@
 """Configuration: release notes, spread and fence."""
+
+from rosemaryweir.config.content import *
+from rosemaryweir.config.fence import *
+from rosemaryweir.config.head import *
+from rosemaryweir.config.intents import *
+from rosemaryweir.config.loader import *
+from rosemaryweir.config.note import *
+from rosemaryweir.config.note_schema import *
+from rosemaryweir.config.references import *
--- /dev/null
+++ b/rosemaryweir/config/fence.py
@@ -0,0 +1,148 @@
+"""The freshness fence: whether a VM may start new work.
+
+====================================  =======================================
+what the VM has had lately            what follows
+====================================  =======================================
+store contact of its own              serves
+contact with a peer that had it       serves; the peer's age counts
+neither, but a quorum that has seen   serves what is in force: no view could
+nothing newer                         succeed, no note be settled unseen
+neither, and no quorum                fenced
+a newer generation than its own       fenced until that is in force
+restarted, nothing heard yet          fenced
+====================================  =======================================
+
+Evidence is dated by the sending of the request that brought it, so that no
+delay on the way lengthens it.
+"""
+
+from collections.abc import Collection, Iterable, Mapping
+from typing import NamedTuple
+
+from rosemaryweir.membership.quorum import majority_time, quorum_time
+from rosemaryweir.membership.timing import FRESH_S
+
+__all__ = ['HEAD', 'Fence', 'Permission']
+
+#: Name of the configuration's head among the names of failure domains.
+HEAD = ''
+
+NEVER = float('-inf')
+MS_PER_S = 1000
+
+
+class Permission(NamedTuple):
+    """Until when new work may start, and by which evidence."""
+
+    until: float
+    reason: str
+
+
+class Fence:
+    """Dated evidence that nothing newer exists.
+
+    Attributes
+    ----------
+    vouches : bool
+        Whether this VM knows enough, since its start, to vouch for others.
+    """
+
+    def __init__(self) -> None:
+        self.vouches = False
+        self._fresh: dict[str, float] = {}
+        self._vouched: dict[str, float] = {}
+        self._quorums: dict[str, float] = {}
+
+    def store_contact(self, name: str, sent: float) -> None:
+        """Take a read of the store, of the head or of a view."""
+        self._fresh[name] = max(sent, self._fresh.get(name, NEVER))
+
+    def relay(self, fresh: Mapping[str, float], sent: float) -> None:
+        """Take the ages, in ms, that a peer gave in an answer."""
+        for name, age in fresh.items():
+            self.store_contact(name, sent - age / MS_PER_S)
+
+    def vouched(self, vm: str, sent: float) -> None:
+        """Take it that a VM had seen nothing newer."""
+        self._vouched[vm] = max(sent, self._vouched.get(vm, NEVER))
+
+    def relay_quorums(self, ages: Mapping[str, float], sent: float) -> None:
+        """Take the ages of the majorities that a peer knows of."""
+        for domain, age in ages.items():
+            since = sent - age / MS_PER_S
+            known = self._quorums.get(domain, NEVER)
+            self._quorums[domain] = max(since, known)
+
+    def count_majority(
+        self,
+        domain: str,
+        members: Collection[str],
+        itself: str,
+        now: float,
+    ) -> None:
+        """Work out the majority of the VM's own failure domain."""
+        times = dict(self._vouched)
+        if self.vouches:
+            times[itself] = now
+        since = majority_time(members, times)
+        if since > NEVER:
+            known = self._quorums.get(domain, NEVER)
+            self._quorums[domain] = max(since, known)
+
+    def permission(
+        self,
+        needed: Iterable[str],
+        domains: Collection[str],
+        now: float,
+    ) -> Permission:
+        """Return until when new work may start.
+
+        Parameters
+        ----------
+        needed : iterable of str
+            The head and the views that the VM's right to work rests on.
+        domains : collection of str
+            Failure domains that have a view.
+        now : float
+            Present time.
+        """
+        fresh = min(self._fresh.get(name, NEVER) for name in needed)
+        quorum = self._quorum_time(domains)
+        if not self.vouches:
+            self.vouches = max(fresh, quorum) + FRESH_S > now
+        if fresh >= quorum:
+            return _permit(fresh, 'store', now)
+        mixed = min(
+            max(quorum, self._fresh.get(name, NEVER)) for name in needed
+        )
+        return _permit(mixed, 'quorum', now)
+
+    def age(self, name: str, now: float) -> float:
+        """Return how long ago the store was last known to show no newer."""
+        return now - self._fresh.get(name, NEVER)
+
+    def fresh_ages(self, now: float) -> dict[str, float]:
+        """Return the ages, in ms, to relay to peers."""
+        return _ages(self._fresh, now)
+
+    def quorum_ages(self, now: float) -> dict[str, float]:
+        """Return the ages of majorities, in ms, to relay to peers."""
+        return _ages(self._quorums, now)
+
+    def _quorum_time(self, domains: Collection[str]) -> float:
+        return quorum_time(
+            [self._quorums.get(domain, NEVER) for domain in domains],
+        )
+
+
+def _permit(since: float, reason: str, now: float) -> Permission:
+    until = since + FRESH_S
+    return Permission(until, reason if now < until else 'fenced')
+
+
+def _ages(times: Mapping[str, float], now: float) -> dict[str, float]:
+    return {
+        name: (now - since) * MS_PER_S
+        for name, since in times.items()
+        if now < since + FRESH_S
+    }
--- /dev/null
+++ b/rosemaryweir/config/head.py
@@ -0,0 +1,319 @@
+"""The head of the configuration: the one object that a note updates.
+
+`NoteWriter` takes one note from its arrival to its outcome: read the head,
+check the note, announce what it withdraws, write its content, update the head
+under a condition.  When a reply is lost, the same update is sent again: of two
+updates on one expected version only one takes effect, and the note's
+identifier in the head tells which.
+"""
+
+from collections.abc import Iterator, Mapping
+from typing import Any, NamedTuple
+
+import msgspec
+from returns.result import Failure
+
+from rosemaryweir.config.content import (
+    chunk_key,
+    digest_of,
+    encode_config,
+    split_chunks,
+)
+from rosemaryweir.config.note import (
+    apply,
+    check,
+    plan,
+    touched_paths,
+    withdrawn_domains,
+)
+from rosemaryweir.exception import Finding
+from rosemaryweir.node.action import Action, StoreGet, StorePut
+from rosemaryweir.node.event import StoreFailed, StoreObject, StoreReply
+from rosemaryweir.schema.generated.config import Config
+from rosemaryweir.schema.generated.control import Applied, Head
+
+__all__ = ['HEAD_KEY', 'NoteWriter', 'Outcome', 'decode_head', 'empty_head']
+
+HEAD_KEY = 'config/head'
+
+#: Notes that the head remembers.
+RECENT_KEPT = 32
+
+#: Paths of a note that the head remembers.
+TOUCHED_KEPT = 4
+
+#: Pause before a call is repeated, in seconds.
+RETRY_S = 0.2
+
+#: Time after which the operator is answered in any case, in seconds.
+ANSWER_S = 8.0
+
+
+class Outcome(NamedTuple):
+    """What became of a note.
+
+    ``state`` is ``accepted``, ``already``, ``malformed``, ``conflict``,
+    ``store_down`` (nothing was written) or ``unknown``.
+    """
+
+    state: str
+    generation: int = 0
+    detail: str = ''
+    findings: tuple[Finding, ...] = ()
+    plan: tuple[str, ...] = ()
+
+
+class Written(NamedTuple):
+    """The head as the store holds it."""
+
+    version: int
+    head: Head
+
+
+def empty_head() -> Head:
+    """Return the head before the first note."""
+    return Head(generation=0, note='', digest='', chunks=[], recent=[])
+
+
+def decode_head(obj: StoreObject) -> Head:
+    """Return the head that a store object holds.
+
+    Raises
+    ------
+    msgspec.ValidationError
+        If it holds none.
+    """
+    if not obj.version:
+        return empty_head()
+    return msgspec.json.decode(obj.content, type=Head)
+
+
+class NoteWriter:
+    """The life of one note at the agent that took it.
+
+    Attributes
+    ----------
+    step : str
+        ``reading``, ``syncing`` (the agent lacks the generation in force),
+        ``announcing``, ``content``, ``writing`` or ``done``.
+    outcome : Outcome or None
+        What became of the note, once it is known.
+    config : Config or None
+        The configuration that the note makes.
+    withdrawn : list of str
+        Failure domains that get no new work after it.
+    """
+
+    def __init__(self, note: Mapping[str, Any], topic: str, now: float) -> None:
+        self.note: Any = note
+        self.step = 'reading'
+        self.outcome: Outcome | None = None
+        self.config: Config | None = None
+        self.withdrawn: list[str] = []
+        self._topic = topic
+        self._number = 0
+        self._since = now
+        self._retry: float | None = None
+        self._call = ''
+        self._written = Written(0, empty_head())
+        self._chunks: list[bytes] = []
+        self._digest = ''
+        self._put = 0
+        self._unsure = False
+        self._plan: tuple[str, ...] = ()
+
+    @property
+    def expected_generation(self) -> int:
+        """The generation that the note would make."""
+        return self._written.head['generation'] + 1
+
+    def next_wake(self) -> float | None:
+        """Return the time of the next attempt."""
+        return self._retry
+
+    def begin(self) -> Iterator[Action]:
+        """Read the head."""
+        self.step = 'reading'
+        yield StoreGet(self._new_call(), HEAD_KEY)
+
+    def wake(self, now: float) -> Iterator[Action]:
+        """Repeat what failed."""
+        if self._retry is None or now < self._retry:
+            return
+        self._retry = None
+        if self.step == 'reading':
+            yield from self.begin()
+        elif self.step == 'content':
+            yield from self._put_content()
+        elif self.step == 'writing':
+            yield self._put_head()
+
+    def take_reply(
+        self,
+        event: StoreReply,
+        config: Config,
+    ) -> Iterator[Action]:
+        """Take the answer to the call under way."""
+        if event.call != self._call:
+            return
+        self._call = ''
+        if self.step == 'reading':
+            self._take_head(event)
+            self.resume(config)
+        elif self.step == 'content':
+            self._put += 1
+            yield from self._put_content()
+        elif self.step == 'writing':
+            self._take_outcome(event)
+
+    def take_failure(self, event: StoreFailed, now: float) -> bool:
+        """Take a call without answer; return whether it was this note's."""
+        if event.call != self._call:
+            return False
+        self._call = ''
+        if self.step == 'writing' and event.reason == 'unknown':
+            self._unsure = True
+        late = now >= self._since + ANSWER_S
+        if late and not self._unsure:
+            self._finish(Outcome('store_down', detail='the store is down'))
+        else:
+            self._retry = now + RETRY_S
+        return True
+
+    def resume(self, config: Config) -> None:
+        """Check the note once the generation in force is known here."""
+        head = self._written.head
+        known = _applied(head, self.note.get('note'))
+        if known is not None:
+            self._finish(Outcome('already', known['generation']))
+        elif config['generation'] < head['generation']:
+            self.step = 'syncing'
+        else:
+            self._check(config)
+
+    def write(self) -> Iterator[Action]:
+        """Write the content, after the announcement."""
+        self.step = 'content'
+        yield from self._put_content()
+
+    def _take_head(self, event: StoreReply) -> None:
+        found = event.objects[0] if event.objects else None
+        head = empty_head() if found is None else decode_head(found)
+        version = 0 if found is None else found.version
+        self._written = Written(version, head)
+
+    def _check(self, config: Config) -> None:
+        head = self._written.head
+        base = self.note.get('base')
+        if isinstance(base, int) and base < head['generation']:
+            self._finish(Outcome('conflict', detail=_changed(head, base)))
+            return
+        checked = check(self.note, config)
+        if isinstance(checked, Failure):
+            found = checked.failure()
+            self._finish(Outcome('malformed', findings=found))
+            return
+        self._plan = tuple(plan(self.note, config))
+        self.config = apply(self.note, config)
+        self.withdrawn = withdrawn_domains(self.note)
+        content = encode_config(self.config)
+        self._digest = digest_of(content)
+        self._chunks = split_chunks(content)
+        self.step = 'announcing'
+
+    def _put_content(self) -> Iterator[Action]:
+        if self._put < len(self._chunks):
+            key = chunk_key(self._digest, self._put)
+            content = self._chunks[self._put]
+            yield StorePut(self._new_call(), key, 0, content)
+            return
+        self.step = 'writing'
+        yield self._put_head()
+
+    def _put_head(self) -> StorePut:
+        head = self._written.head
+        generation = self.expected_generation
+        applied = Applied(
+            generation=generation,
+            note=self.note['note'],
+            touched=touched_paths(self.note)[:TOUCHED_KEPT],
+        )
+        new = Head(
+            generation=generation,
+            note=self.note['note'],
+            digest=self._digest,
+            chunks=[
+                chunk_key(self._digest, index)
+                for index in range(len(self._chunks))
+            ],
+            recent=[applied, *head.get('recent', ())][:RECENT_KEPT],
+        )
+        return StorePut(
+            self._new_call(),
+            HEAD_KEY,
+            self._written.version,
+            msgspec.json.encode(new),
+        )
+
+    def _take_outcome(self, event: StoreReply) -> None:
+        if event.status == 'ok':
+            self._accept()
+            return
+        found = event.objects[0] if event.objects else None
+        head = empty_head() if found is None else decode_head(found)
+        known = _applied(head, self.note['note'])
+        if known is None:
+            base = self._written.head['generation']
+            self._finish(Outcome('conflict', detail=_changed(head, base)))
+        elif self._is_own(head, known):
+            self._accept()
+        else:
+            self._finish(Outcome('already', known['generation']))
+
+    def _is_own(self, head: Head, known: Applied) -> bool:
+        if known['generation'] != self.expected_generation:
+            return False
+        newest = head['generation'] == known['generation']
+        return not newest or head['digest'] == self._digest
+
+    def _accept(self) -> None:
+        outcome = Outcome(
+            'accepted',
+            self.expected_generation,
+            plan=self._plan,
+        )
+        self._finish(outcome)
+
+    def _finish(self, outcome: Outcome) -> None:
+        self.step = 'done'
+        self._retry = None
+        self.outcome = outcome
+
+    def _new_call(self) -> str:
+        self._number += 1
+        self._call = f'{self._topic}:{self._number}'
+        return self._call
+
+
+def _applied(head: Head, note: Any) -> Applied | None:
+    return next(
+        (
+            applied
+            for applied in head.get('recent', ())
+            if applied['note'] == note
+        ),
+        None,
+    )
+
+
+def _changed(head: Head, base: int) -> str:
+    since = [
+        f'{applied["note"]} made generation {applied["generation"]} '
+        f'({", ".join(applied["touched"])})'
+        for applied in head.get('recent', ())
+        if applied['generation'] > base
+    ]
+    return (
+        f'generation {head["generation"]} is in force, the note is based on '
+        f'{base}; since then: {"; ".join(since) or "not remembered"}'
+    )
--- /dev/null
+++ b/rosemaryweir/config/loader.py
@@ -0,0 +1,75 @@
+"""Put a configuration together from its chunks."""
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+import msgspec
+
+from rosemaryweir.config.content import decode_config, join_chunks
+from rosemaryweir.schema.generated.config import Config
+
+__all__ = ['Loaded', 'Loader']
+
+
+class Loaded(NamedTuple):
+    """A configuration with the digest of its content."""
+
+    config: Config
+    digest: str
+
+
+class Loader:
+    """Chunks of the newest generation that is being fetched.
+
+    Chunks of an older generation are dropped; a content whose digest doesn't
+    fit is dropped whole.
+    """
+
+    def __init__(self) -> None:
+        self._generation = 0
+        self._digest = ''
+        self._count = 0
+        self._chunks: dict[int, bytes] = {}
+
+    def want(self, generation: int, digest: str, count: int) -> bool:
+        """Begin to fetch a generation; return whether it is a newer one."""
+        if generation <= self._generation:
+            return False
+        self._generation = generation
+        self._digest = digest
+        self._count = count
+        self._chunks = {}
+        return True
+
+    def missing(self) -> Iterator[int]:
+        """Yield the indices of the chunks that have not come."""
+        return (
+            index for index in range(self._count) if index not in self._chunks
+        )
+
+    def put(self, digest: str, index: int, content: bytes) -> Loaded | None:
+        """Take a chunk; return the configuration once it is whole."""
+        if digest != self._digest or index >= self._count:
+            return None
+        self._chunks[index] = content
+        if len(self._chunks) < self._count:
+            return None
+        parts = (self._chunks[number] for number in range(self._count))
+        joined = join_chunks(parts, digest)
+        generation = self._generation
+        self.drop()
+        if joined is None:
+            return None
+        try:
+            config = decode_config(joined)
+        except msgspec.MsgspecError:
+            return None
+        fits = config['generation'] == generation
+        return Loaded(config, digest) if fits else None
+
+    def drop(self) -> None:
+        """Forget what has come, so that it can be fetched anew."""
+        self._generation = 0
+        self._digest = ''
+        self._count = 0
+        self._chunks = {}
--- /dev/null
+++ b/rosemaryweir/config/note.py
@@ -0,0 +1,225 @@
+"""Release notes: check one whole, show its plan, apply it.
+
+All functions are pure.  A note is checked against its schema, against the
+configuration that it is based on, and against what it would result in;
+findings of all three are reported together.
+"""
+
+import copy
+from collections.abc import Iterator, Mapping
+from typing import Any, cast
+
+from returns.result import Failure, Result, Success
+
+from rosemaryweir.config.note_schema import schema_findings
+from rosemaryweir.config.references import reference_findings
+from rosemaryweir.exception import Finding, InvalidInput
+from rosemaryweir.node.state import CONFIG_FORMAT
+from rosemaryweir.schema.generated.config import Config
+from rosemaryweir.schema.generated.note import ReleaseNote
+
+__all__ = [
+    'SECTIONS',
+    'apply',
+    'check',
+    'plan',
+    'touched_paths',
+    'withdrawn_domains',
+]
+
+#: Sections of a configuration that notes change.
+SECTIONS = ('services', 'targets', 'domains', 'classes', 'tenants')
+
+Findings = tuple[Finding, ...]
+
+
+def check(
+    note: Mapping[str, Any],
+    config: Config,
+) -> Result[ReleaseNote, Findings]:
+    """Check a note whole against the configuration in force.
+
+    Parameters
+    ----------
+    note : mapping
+        The note as the operator wrote it.
+    config : Config
+        The configuration in force.
+
+    Returns
+    -------
+    Result
+        The note, or everything that is wrong with it.
+
+    Notes
+    -----
+    A note of a newer format is refused for that alone: what else it holds is
+    not understood, so that no finding about it would mean anything.
+    """
+    newer = tuple(_format_findings(note))
+    if newer:
+        return Failure(newer)
+    found = tuple(schema_findings(note))
+    if found:
+        return Failure(found)
+    typed = cast(ReleaseNote, note)
+    found = (
+        *_base_findings(typed, config),
+        *_name_findings(typed, config),
+    )
+    if not found:
+        found = tuple(reference_findings(_merge(typed, config), config))
+    return Failure(found) if found else Success(typed)
+
+
+def apply(note: ReleaseNote, config: Config) -> Config:
+    """Return the configuration that a note makes of another.
+
+    Raises
+    ------
+    InvalidInput
+        If the note doesn't pass `check` against that configuration.
+
+    See Also
+    --------
+    check : the findings without an exception.
+    """
+    checked = check(note, config)
+    if isinstance(checked, Failure):
+        raise InvalidInput(checked.failure())
+    return _merge(note, config)
+
+
+def plan(note: ReleaseNote, config: Config) -> list[str]:
+    """Return what a note would do, one line for each change.
+
+    Examples
+    --------
+    >>> from rosemaryweir.node.state import empty_config
+    >>> plan(
+    ...     {
+    ...         'note': 'n-1',
+    ...         'format': 1,
+    ...         'base': 0,
+    ...         'added': {'domains': {'a': {'region': 'r', 'state': 'in'}}},
+    ...     },
+    ...     empty_config(),
+    ... )
+    ['add domains.a']
+    """
+    return [
+        *(f'add {path}' for path in _paths(note.get('added', {}))),
+        *_changes(note, config),
+        *(f'withdraw {path}' for path in _paths(note.get('withdrawn', {}))),
+    ]
+
+
+def touched_paths(note: ReleaseNote) -> list[str]:
+    """Return the paths that a note adds, changes or withdraws."""
+    return [
+        path
+        for part in ('added', 'changed', 'withdrawn')
+        for path in _paths(cast(Mapping[str, Any], note.get(part, {})))
+    ]
+
+
+def withdrawn_domains(note: ReleaseNote) -> list[str]:
+    """Return the failure domains that get no new work after a note."""
+    changed = note.get('changed', {}).get('domains', {})
+    turned_out = [
+        name for name, change in changed.items() if change.get('state') == 'out'
+    ]
+    gone = note.get('withdrawn', {}).get('domains', [])
+    return sorted({*turned_out, *gone})
+
+
+def _merge(note: ReleaseNote, config: Config) -> Config:
+    merged = cast(dict[str, Any], copy.deepcopy(config))
+    merged.update(
+        generation=config['generation'] + 1,
+        note=note['note'],
+        format=note['format'],
+    )
+    for section in SECTIONS:
+        records = merged[section]
+        for name in _section(note, 'withdrawn', section):
+            records.pop(name)
+        for name, change in _section(note, 'changed', section).items():
+            records[name] = {**records[name], **change}
+        records.update(copy.deepcopy(_section(note, 'added', section)))
+    return cast(Config, merged)
+
+
+def _section(note: ReleaseNote, part: str, section: str) -> Any:
+    empty: Any = [] if part == 'withdrawn' else {}
+    return cast(Mapping[str, Any], note).get(part, {}).get(section, empty)
+
+
+def _paths(part: Mapping[str, Any]) -> Iterator[str]:
+    return (f'{section}.{name}' for section in part for name in part[section])
+
+
+def _changes(note: ReleaseNote, config: Config) -> Iterator[str]:
+    for section in SECTIONS:
+        records: Mapping[str, Any] = config[section]  # type: ignore[literal-required]
+        for name, change in _section(note, 'changed', section).items():
+            before = records[name]
+            yield from (
+                f'change {section}.{name}.{field}: '
+                f'{_brief(before.get(field))} -> {_brief(after)}'
+                for field, after in change.items()
+                if before.get(field) != after
+            )
+
+
+def _brief(field: Any) -> str:
+    if isinstance(field, Mapping):
+        return f'{len(field)} entries'
+    return 'unset' if field is None else str(field)
+
+
+def _format_findings(note: Mapping[str, Any]) -> Iterator[Finding]:
+    version = note.get('format') if isinstance(note, Mapping) else None
+    if isinstance(version, int) and version > CONFIG_FORMAT:
+        yield Finding(
+            '$.format',
+            f'format {version} is newer than {CONFIG_FORMAT}',
+            'update every VM before using it; nothing was applied',
+        )
+
+
+def _base_findings(note: ReleaseNote, config: Config) -> Iterator[Finding]:
+    if note['base'] != config['generation']:
+        yield Finding(
+            '$.base',
+            f'{note["base"]} is not the generation in force, '
+            f'{config["generation"]}',
+            'write the note against the generation in force',
+        )
+
+
+def _name_findings(note: ReleaseNote, config: Config) -> Iterator[Finding]:
+    for section in SECTIONS:
+        known = set(config[section])  # type: ignore[literal-required]
+        added = set(_section(note, 'added', section))
+        changed = set(_section(note, 'changed', section))
+        withdrawn = set(_section(note, 'withdrawn', section))
+        for name in sorted(added & known):
+            yield Finding(
+                f'$.added.{section}.{name}',
+                'exists already',
+                'change it instead',
+            )
+        for part, names in (('changed', changed), ('withdrawn', withdrawn)):
+            for name in sorted(names - known):
+                yield Finding(
+                    f'$.{part}.{section}.{name}',
+                    'is not known',
+                    f'known: {", ".join(sorted(known)[:5]) or "none"}',
+                )
+        for name in sorted(withdrawn & (changed | added)):
+            yield Finding(
+                f'$.withdrawn.{section}.{name}',
+                'is added or changed by the same note',
+                'keep one of the two',
+            )
--- /dev/null
+++ b/rosemaryweir/config/note_schema.py
@@ -0,0 +1,67 @@
+"""Check release notes and configurations against their JSON Schema."""
+
+import functools
+from collections.abc import Iterator
+from importlib import resources
+from typing import Any
+
+import jsonschema
+import msgspec
+
+from rosemaryweir.exception import Finding
+
+__all__ = ['json_path', 'schema_findings']
+
+#: Findings of one note that are worth reporting.
+FINDINGS_SHOWN = 50
+
+HINTS = {
+    'additionalProperties': 'unknown name: check its spelling',
+    'required': 'add it',
+    'pattern': 'lower-case letters, digits, dots, dashes; addresses ip:port',
+    'type': 'use the type that the schema names',
+    'minItems': 'name at least one',
+    'minimum': 'use a larger number',
+}
+
+
+def schema_findings(
+    document: Any,
+    schema: str = 'note',
+) -> Iterator[Finding]:
+    """Yield what a schema finds wrong, by place.
+
+    Examples
+    --------
+    >>> [finding.path for finding in schema_findings({'note': 1, 'base': 0})]
+    ['$', '$.note']
+    """
+    errors = _validator(schema).iter_errors(document)
+    ordered = sorted(errors, key=lambda error: json_path(error.absolute_path))
+    for error in ordered[:FINDINGS_SHOWN]:
+        yield Finding(
+            json_path(error.absolute_path),
+            error.message[:200],
+            HINTS.get(str(error.validator), ''),
+        )
+
+
+def json_path(parts: Any) -> str:
+    """Return the JSON path of a sequence of names and positions.
+
+    Examples
+    --------
+    >>> json_path(['added', 'targets', 0])
+    '$.added.targets[0]'
+    """
+    places = (
+        f'[{part}]' if isinstance(part, int) else f'.{part}' for part in parts
+    )
+    return ''.join(['$', *places])
+
+
+@functools.cache
+def _validator(schema: str) -> jsonschema.Draft202012Validator:
+    folder = resources.files('rosemaryweir.schema')
+    content = folder.joinpath(f'{schema}.json').read_bytes()
+    return jsonschema.Draft202012Validator(msgspec.json.decode(content))
--- /dev/null
+++ b/rosemaryweir/config/note_service.py
@@ -0,0 +1,395 @@
+"""Operators' notes at the agent: check, plan, write, answer."""
+
+from collections import deque
+from collections.abc import Iterable, Iterator, Mapping
+from random import Random
+from typing import Any, NamedTuple
+
+from returns.result import Failure
+
+from rosemaryweir.config.head import NoteWriter, Outcome
+from rosemaryweir.config.note import check, plan
+from rosemaryweir.exception import Finding
+from rosemaryweir.membership.control import control_of
+from rosemaryweir.membership.ranks import children, rank_of
+from rosemaryweir.node.action import Action, LogEvent, ReplyCaller, SendPeer
+from rosemaryweir.node.catalogue import register_event
+from rosemaryweir.node.event import (
+    CallerRequest,
+    PeerMessage,
+    StoreFailed,
+    StoreReply,
+)
+from rosemaryweir.node.part import Part, handles, part_of
+from rosemaryweir.node.state import NodeState
+from rosemaryweir.schema.generated.control import (
+    Intent,
+    IntentAck,
+    IntentSent,
+    Member,
+    NoteAnswer,
+    PlanAnswer,
+    Settled,
+)
+from rosemaryweir.schema.generated.http import Finding as FindingBody
+from rosemaryweir.schema.generated.http import Refusal
+
+__all__ = ['NoteService', 'reply_ok']
+
+NOTE_SETTLED = register_event(
+    510,
+    'note.settled',
+    'info',
+    'What became of a release note: accepted, already applied, refused.',
+)
+INTENT_SETTLED = register_event(
+    511,
+    'note.intent_settled',
+    'info',
+    'It is known whether an announced withdrawal was accepted.',
+)
+
+TOPIC = 'note'
+
+HTTP_OK = 200
+HTTP_MALFORMED = 400
+HTTP_CONFLICT = 409
+HTTP_UNAVAILABLE = 503
+
+#: Notes that wait at one agent.
+QUEUE = 16
+
+#: Time that peers get to acknowledge an announcement, in seconds.
+ANNOUNCE_S = 0.4
+
+#: Pause before the generation in force here is looked at again, in seconds.
+SYNC_S = 0.05
+
+#: Time after which an operator is answered in any case, in seconds.
+LIMIT_S = 10.0
+
+#: Peers that an announcement is sent to directly.
+ANNOUNCED = 32
+
+#: Peers that a settled intent is passed on to.
+SETTLED_SENT = 4
+
+#: Time after which an unsent message is worth nothing, in seconds.
+SEND_S = 0.5
+
+RETRY_AFTER_MS = 1000
+
+STATUSES = {
+    'malformed': HTTP_MALFORMED,
+    'conflict': HTTP_CONFLICT,
+    'store_down': HTTP_UNAVAILABLE,
+    'unknown': HTTP_UNAVAILABLE,
+}
+
+
+class Submission(NamedTuple):
+    """A note and the request that brought it."""
+
+    req: int
+    note: Mapping[str, Any]
+    since: float
+
+
+@part_of('agent')
+class NoteService(Part):
+    """Take operators' notes, one at a time."""
+
+    def __init__(self, state: NodeState, rng: Random) -> None:
+        super().__init__(state, rng)
+        self.control = control_of(state)
+        self._queue: deque[Submission] = deque()
+        self._current: Submission | None = None
+        self._writer: NoteWriter | None = None
+        self._answered = False
+        self._number = 0
+        self._intent = ''
+        self._awaited: set[str] = set()
+        self._announced = 0.0
+
+    def next_wake(self) -> float | None:
+        """Return the time of the next step of the note under way."""
+        writer = self._writer
+        if writer is None:
+            return None
+        waits = [writer.next_wake()]
+        if writer.step == 'announcing':
+            waits.append(self._announced + ANNOUNCE_S)
+        if writer.step == 'syncing':
+            waits.append(self._announced + SYNC_S)
+        if not self._answered:
+            waits.append(self._limit())
+        return min((wait for wait in waits if wait is not None), default=None)
+
+    def wake(self, now: float) -> Iterator[Action]:
+        """Go on with the note under way."""
+        writer = self._writer
+        if writer is None:
+            return
+        yield from writer.wake(now)
+        yield from self._advance(now)
+        if self._writer is writer and now >= self._limit():
+            yield from self._give_answer(now)
+
+    def busy(self, now: float) -> bool:
+        """Return whether an operator waits for an answer."""
+        return self._writer is not None and not self._answered
+
+    @handles(CallerRequest, 'note')
+    def submit(self, event: CallerRequest, now: float) -> Iterator[Action]:
+        """Take a note."""
+        if len(self._queue) >= QUEUE:
+            yield _refuse(event.req, HTTP_UNAVAILABLE, 'overloaded', 'queue')
+            return
+        self._queue.append(Submission(event.req, event.body, now))
+        yield from self._next(now)
+
+    @handles(CallerRequest, 'plan')
+    def show_plan(self, event: CallerRequest, now: float) -> Iterator[Action]:
+        """Show what a note would do."""
+        config = self.state.config
+        checked = check(event.body, config)
+        if isinstance(checked, Failure):
+            found = checked.failure()
+            yield _refuse_findings(event.req, found)
+            return
+        note = checked.unwrap()
+        body = PlanAnswer(
+            note=note['note'],
+            base=config['generation'],
+            plan=plan(note, config),
+        )
+        yield reply_ok(event.req, body)
+
+    @handles(StoreReply, TOPIC)
+    def take_reply(self, event: StoreReply, now: float) -> Iterator[Action]:
+        """Take the answer of the store."""
+        if self._writer is not None:
+            yield from self._writer.take_reply(event, self.state.config)
+            yield from self._advance(now)
+
+    @handles(StoreFailed, TOPIC)
+    def take_failure(self, event: StoreFailed, now: float) -> Iterator[Action]:
+        """Repeat the call later, or give up."""
+        if self._writer is not None and self._writer.take_failure(event, now):
+            yield from self._advance(now)
+
+    @handles(PeerMessage, 'intent')
+    def take_intent(self, event: PeerMessage, now: float) -> Iterator[Action]:
+        """Take an announcement, and acknowledge it."""
+        message: IntentSent = event.message  # type: ignore[assignment]
+        self.control.intents.add(message['intent'], now)
+        vm = event.sender.partition('/')[0]
+        member = self.control.roster.member(vm)
+        if member is not None:
+            ack = IntentAck(kind='intent_ack', note=message['intent']['note'])
+            yield _send(member, ack, now)
+
+    @handles(PeerMessage, 'intent_ack')
+    def take_ack(self, event: PeerMessage, now: float) -> Iterator[Action]:
+        """Note that a peer knows the announcement."""
+        if event.message['note'] == self._intent:
+            self._awaited.discard(event.sender.partition('/')[0])
+            yield from self._advance(now)
+
+    @handles(PeerMessage, 'settled')
+    def take_settled(self, event: PeerMessage, now: float) -> Iterator[Action]:
+        """Lift a suspension; pass it on once."""
+        message: Settled = event.message  # type: ignore[assignment]
+        if message['generation']:
+            self.control.told = max(self.control.told, message['generation'])
+        if self.control.intents.settle(message['note']):
+            yield LogEvent(INTENT_SETTLED, {'note': message['note']})
+            yield from self._pass_settled(message, now)
+
+    def status(self, now: float) -> Mapping[str, Any]:
+        """Return the note under way and how many wait."""
+        return {
+            'step': self._writer.step if self._writer else 'idle',
+            'waiting': len(self._queue),
+        }
+
+    def _next(self, now: float) -> Iterator[Action]:
+        if self._writer is not None or not self._queue:
+            return
+        self._current = self._queue.popleft()
+        self._number += 1
+        self._answered = False
+        self._intent = ''
+        topic = f'{TOPIC}:{self._number}'
+        self._writer = NoteWriter(self._current.note, topic, now)
+        self._announced = now
+        yield from self._writer.begin()
+
+    def _limit(self) -> float:
+        since = self._current.since if self._current else 0.0
+        return since + LIMIT_S
+
+    def _advance(self, now: float) -> Iterator[Action]:
+        writer = self._writer
+        if writer is None:
+            return
+        if writer.step == 'syncing':
+            self._announced = now
+            writer.resume(self.state.config)
+        if writer.step == 'announcing':
+            yield from self._announce(writer, now)
+        if writer.outcome is not None:
+            yield from self._settle(writer, writer.outcome, now)
+
+    def _announce(self, writer: NoteWriter, now: float) -> Iterator[Action]:
+        if not writer.withdrawn:
+            yield from writer.write()
+        elif not self._intent:
+            yield from self._send_intent(writer, now)
+        elif not self._awaited or now >= self._announced + ANNOUNCE_S:
+            yield from writer.write()
+
+    def _send_intent(self, writer: NoteWriter, now: float) -> Iterator[Action]:
+        uid = self.state.uid
+        self._intent = f'{uid.vm}/{uid.incarnation}/{self._number}'
+        self._announced = now
+        intent = Intent(
+            note=self._intent,
+            generation=writer.expected_generation,
+            domains=writer.withdrawn,
+            age_ms=0.0,
+        )
+        self.control.intents.add(intent, now)
+        peers = [
+            member
+            for member in self.control.roster.peers()
+            if member['state'] == 'alive'
+        ]
+        chosen = self.rng.sample(peers, min(ANNOUNCED, len(peers)))
+        self._awaited = {member['vm'] for member in chosen}
+        for member in chosen:
+            yield _send(member, IntentSent(kind='intent', intent=intent), now)
+        if not chosen:
+            yield from writer.write()
+
+    def _settle(
+        self,
+        writer: NoteWriter,
+        outcome: Outcome,
+        now: float,
+    ) -> Iterator[Action]:
+        self._writer = None
+        current = self._current
+        yield LogEvent(
+            NOTE_SETTLED,
+            {
+                'note': writer.note.get('note'),
+                'state': outcome.state,
+                'generation': outcome.generation,
+            },
+        )
+        if current is not None and not self._answered:
+            yield _answer(current.req, writer, outcome)
+        if outcome.state == 'accepted' and writer.config is not None:
+            self.control.accepted.append(writer.config)
+        if self._intent:
+            accepted = outcome.state == 'accepted'
+            self.control.intents.settle(self._intent)
+            message = Settled(
+                kind='settled',
+                note=self._intent,
+                generation=outcome.generation if accepted else 0,
+            )
+            yield from self._pass_settled(message, now)
+        yield from self._next(now)
+
+    def _give_answer(self, now: float) -> Iterator[Action]:
+        if self._answered or self._current is None or self._writer is None:
+            return
+        self._answered = True
+        sure = self._writer.step in {'reading', 'syncing', 'announcing'}
+        outcome = Outcome(
+            'store_down' if sure else 'unknown',
+            detail='the store does not answer; send the same note again',
+        )
+        yield _answer(self._current.req, self._writer, outcome)
+        if sure:
+            self._writer = None
+            yield from self._next(now)
+
+    def _pass_settled(
+        self,
+        message: Settled,
+        now: float,
+    ) -> Iterator[Action]:
+        peers = self.control.roster.peers()
+        ranked = self.control.ranked()
+        near = children(rank_of(self.state.uid.vm, ranked), ranked)
+        drawn = self.rng.sample(peers, min(SETTLED_SENT, len(peers)))
+        for member in {each['vm']: each for each in [*near, *drawn]}.values():
+            yield _send(member, message, now)
+
+
+def reply_ok(req: int, body: Mapping[str, Any]) -> ReplyCaller:
+    """Return the reply to a request that was answered."""
+    return ReplyCaller(req, HTTP_OK, body)
+
+
+def _answer(req: int, writer: NoteWriter, outcome: Outcome) -> ReplyCaller:
+    if outcome.state in {'accepted', 'already'}:
+        body = NoteAnswer(
+            note=writer.note['note'],
+            generation=outcome.generation,
+            state=outcome.state,  # type: ignore[typeddict-item]
+            plan=list(outcome.plan),
+        )
+        return reply_ok(req, body)
+    if outcome.state == 'malformed':
+        return _refuse_findings(req, outcome.findings)
+    reason = 'store_down' if outcome.state == 'unknown' else outcome.state
+    ran = 'unknown' if outcome.state == 'unknown' else 'not_run'
+    return _refuse(req, STATUSES[outcome.state], reason, outcome.detail, ran)
+
+
+def _refuse(
+    req: int,
+    status: int,
+    reason: str,
+    detail: str,
+    ran: str = 'not_run',
+) -> ReplyCaller:
+    body = Refusal(
+        reason=reason,  # type: ignore[typeddict-item]
+        ran=ran,  # type: ignore[typeddict-item]
+        detail=detail,
+        retry_after_ms=RETRY_AFTER_MS,
+    )
+    return ReplyCaller(req, status, body)
+
+
+def _refuse_findings(req: int, findings: Iterable[Finding]) -> ReplyCaller:
+    body = Refusal(
+        reason='malformed',
+        ran='not_run',
+        detail='nothing was applied',
+        findings=[_finding_body(each) for each in findings],
+    )
+    return ReplyCaller(req, HTTP_MALFORMED, body)
+
+
+def _finding_body(finding: Finding) -> FindingBody:
+    path, problem, hint = finding
+    return FindingBody(path=path, problem=problem, hint=hint)
+
+
+def _send(
+    member: Member,
+    message: Mapping[str, Any],
+    now: float,
+) -> SendPeer:
+    return SendPeer(
+        f'{member["vm"]}/agent',
+        member['agent_peer'],
+        message,
+        now + SEND_S,
+    )
--- /dev/null
+++ b/rosemaryweir/config/references.py
@@ -0,0 +1,108 @@
+"""What a configuration must hold beyond its schema."""
+
+from collections.abc import Iterator
+
+from rosemaryweir.exception import Finding
+from rosemaryweir.schema.generated.config import Config, Service
+
+__all__ = ['reference_findings']
+
+
+def reference_findings(config: Config, before: Config) -> Iterator[Finding]:
+    """Yield what is wrong with a configuration as a whole.
+
+    Parameters
+    ----------
+    config : Config
+        The configuration that a note would make.
+    before : Config
+        The configuration that it is based on.
+    """
+    yield from _target_findings(config)
+    for name, service in sorted(config['services'].items()):
+        yield from _service_findings(name, service, config)
+        old = before['services'].get(name)
+        if old is not None:
+            yield from _layout_findings(name, service, old)
+    yield from _class_findings(config)
+
+
+def _target_findings(config: Config) -> Iterator[Finding]:
+    addresses: dict[str, str] = {}
+    for name, target in sorted(config['targets'].items()):
+        if target['domain'] not in config['domains']:
+            yield Finding(
+                f'$.targets.{name}.domain',
+                f'failure domain {target["domain"]} is not known',
+                'add it, or withdraw the target too',
+            )
+        other = addresses.setdefault(target['address'], name)
+        if other != name:
+            yield Finding(
+                f'$.targets.{name}.address',
+                f'is the address of {other} too',
+                'limits hold for each target: one name for each address',
+            )
+
+
+def _service_findings(
+    name: str,
+    service: Service,
+    config: Config,
+) -> Iterator[Finding]:
+    path = f'$.services.{name}'
+    if not service['shards']:
+        yield Finding(f'{path}.shards', 'is empty', 'name at least one shard')
+    for shard, held in sorted(service['shards'].items()):
+        missing = sorted(set(held['targets']) - set(config['targets']))
+        for target in missing:
+            yield Finding(
+                f'{path}.shards.{shard}.targets',
+                f'target {target} is not known',
+                'add it, or take it out of the shard',
+            )
+        if len(set(held['targets'])) < len(held['targets']):
+            yield Finding(
+                f'{path}.shards.{shard}.targets',
+                'names a target twice',
+                'name each replica once',
+            )
+    if service['cold_slots'] > service['slots']:
+        yield Finding(
+            f'{path}.cold_slots',
+            'is above slots',
+            'a cold target bears no more than a warm one',
+        )
+
+
+def _layout_findings(
+    name: str,
+    service: Service,
+    old: Service,
+) -> Iterator[Finding]:
+    path = f'$.services.{name}.layout'
+    if service['layout'] < old['layout']:
+        yield Finding(path, 'goes back', f'use at least {old["layout"]}')
+    same = set(service['shards']) == set(old['shards'])
+    if not same and service['layout'] == old['layout']:
+        yield Finding(
+            path,
+            'stays while the set of shards changes',
+            f'use {old["layout"] + 1}',
+        )
+
+
+def _class_findings(config: Config) -> Iterator[Finding]:
+    for name, policy in sorted(config['classes'].items()):
+        if policy['answer'] == 'early' and 'early_ms' not in policy:
+            yield Finding(
+                f'$.classes.{name}.early_ms',
+                'is missing',
+                'a class that answers early says when',
+            )
+        if policy.get('early_ms', 0) > policy['deadline_ms']:
+            yield Finding(
+                f'$.classes.{name}.early_ms',
+                'is after the deadline',
+                'use a shorter time',
+            )
--- a/rosemaryweir/membership/__init__.py
+++ b/rosemaryweir/membership/__init__.py
@@ -1,6 +1,14 @@
-"""Membership: who is there, leases, the directory."""
+"""Membership: heartbeats, views, leases, directory."""
 
 from rosemaryweir.membership.agent_client import *
+from rosemaryweir.membership.calls import *
 from rosemaryweir.membership.directory import *
 from rosemaryweir.membership.directory_choice import *
+from rosemaryweir.membership.gone import *
+from rosemaryweir.membership.prober import *
+from rosemaryweir.membership.quorum import *
+from rosemaryweir.membership.ranks import *
+from rosemaryweir.membership.roster import *
+from rosemaryweir.membership.succession import *
 from rosemaryweir.membership.timing import *
+from rosemaryweir.membership.views import *
--- /dev/null
+++ b/rosemaryweir/membership/control.py
@@ -0,0 +1,154 @@
+"""What the parts of an agent share."""
+
+from collections.abc import Iterable
+from weakref import WeakKeyDictionary
+
+from rosemaryweir.config.fence import HEAD, Fence, Permission
+from rosemaryweir.config.intents import Intents
+from rosemaryweir.membership.directory_choice import Heard
+from rosemaryweir.membership.ranks import WATCHERS, rank_of
+from rosemaryweir.membership.roster import Roster
+from rosemaryweir.membership.succession import Succession
+from rosemaryweir.membership.timing import clock_skew
+from rosemaryweir.node.state import NodeState
+from rosemaryweir.schema.generated.config import Config
+from rosemaryweir.schema.generated.control import Member, Pulse, View
+
+__all__ = ['Control', 'control_of', 'own_member']
+
+#: Members up to which an agent itself counts the majority of every domain.
+COUNT_ALL = 64
+
+_CONTROLS: WeakKeyDictionary[NodeState, 'Control'] = WeakKeyDictionary()
+
+
+class Control:
+    """Membership, evidence and news that an agent's parts share.
+
+    Attributes
+    ----------
+    roster : Roster
+        What is believed of every VM.
+    fence : Fence
+        Evidence that nothing newer exists.
+    succession : Succession
+        Who has adopted which view.
+    intents : Intents
+        Notes about to be written.
+    heard : dict of str to Heard
+        The latest that each VM said of itself.
+    told : int
+        The highest generation that was heard of.
+    digest : str
+        Digest of the configuration in force.
+    leaving, departed : bool
+        Whether this VM is leaving; whether it is about to end.
+    urgent : bool
+        Whether others should be told of a change at once.
+    accepted : list of Config
+        Configurations that a note written here has made.
+    """
+
+    def __init__(self, state: NodeState) -> None:
+        self.state = state
+        self.roster = Roster(own_member(state))
+        self.fence = Fence()
+        self.succession = Succession(clock_skew(state.settings))
+        self.intents = Intents()
+        self.heard: dict[str, Heard] = {}
+        self.told = 0
+        self.digest = ''
+        self.leaving = False
+        self.departed = False
+        self.urgent = False
+        self.accepted: list[Config] = []
+        self.pulse = _first_pulse(state)
+
+    @property
+    def domain(self) -> str:
+        """The failure domain of this VM."""
+        return self.state.settings['domain']
+
+    def ranked(self) -> list[Member]:
+        """Return the present members of the own failure domain, by rank."""
+        return [
+            member
+            for member in self.roster.present(self.domain)
+            if member['state'] == 'alive'
+        ]
+
+    def watches(self) -> bool:
+        """Return whether this VM is one of the few that watch the store."""
+        return rank_of(self.state.uid.vm, self.ranked()) < WATCHERS
+
+    def own_domains(self) -> list[str]:
+        """Return the domains whose views this VM's rights rest on."""
+        vm = self.state.uid.vm
+        named = [
+            domain
+            for domain, view in self.state.views.items()
+            if any(member['vm'] == vm for member in view['members'])
+        ]
+        return sorted({*named, self.domain})
+
+    def permission(self, now: float) -> Permission:
+        """Return until when new work may start on this VM."""
+        for domain, view in self._counted():
+            names = [member['vm'] for member in view['members']]
+            self.fence.count_majority(domain, names, self.state.uid.vm, now)
+        needed = [HEAD, *self.own_domains()]
+        return self.fence.permission(needed, self.state.views, now)
+
+    def adopt(self, views: Iterable[View], now: float) -> list[View]:
+        """Adopt views; return those that were newer."""
+        newer = [view for view in views if self.state.take_view(view)]
+        for view in newer:
+            self.succession.adopt(view, now)
+            self.roster.take_all(view['members'], now)
+        if newer:
+            versions = self.state.view_versions()
+            self.succession.heard(self.state.uid.vm, versions)
+            self.urgent = True
+        return newer
+
+    def _counted(self) -> list[tuple[str, View]]:
+        views = self.state.views
+        size = sum(len(view['members']) for view in views.values())
+        if size <= COUNT_ALL:
+            return list(views.items())
+        own = self.own_domains()
+        return [(name, views[name]) for name in own if name in views]
+
+
+def control_of(state: NodeState) -> Control:
+    """Return what the parts of an agent share, made on first use."""
+    control = _CONTROLS.get(state)
+    if control is None:
+        control = Control(state)
+        _CONTROLS[state] = control
+    return control
+
+
+def own_member(state: NodeState) -> Member:
+    """Return the VM of a process as a member."""
+    settings = state.settings
+    return Member(
+        vm=settings['vm'],
+        domain=settings['domain'],
+        region=settings['region'],
+        incarnation=state.uid.incarnation,
+        state='alive',
+        load=0.0,
+        **settings['addresses'],
+    )
+
+
+def _first_pulse(state: NodeState) -> Pulse:
+    return Pulse(
+        vm=state.uid.vm,
+        load=0.0,
+        serving=False,
+        leaving=False,
+        generation=0,
+        age_ms=0.0,
+    )
--- /dev/null
+++ b/rosemaryweir/membership/grants.py
@@ -0,0 +1,213 @@
+"""Grants: the agent's answers to the entry and the leaf of its VM."""
+
+from collections.abc import Iterable, Iterator, Mapping
+from random import Random
+from typing import Any, NamedTuple
+
+from rosemaryweir.membership.control import control_of
+from rosemaryweir.membership.timing import AGENT_SILENCE_S, GRANT_S, PULSE_S
+from rosemaryweir.node.action import Action, SendPeer
+from rosemaryweir.node.event import PeerMessage, ShutdownAsked
+from rosemaryweir.node.part import Part, handles, part_of
+from rosemaryweir.node.state import NodeState
+from rosemaryweir.schema.generated.control import Grant, Hello, Pulse, Viewed
+
+__all__ = ['GrantService']
+
+#: VMs of which a grant brings news.
+PULSES_SENT = 32
+
+#: Longest wait, at shutdown, for a view without this VM, in seconds.
+HANDOVER_S = 10.0
+
+#: Time after which an unsent message is worth nothing, in seconds.
+SEND_S = 0.5
+
+#: Takeover time that is not known yet, in ms.
+UNKNOWN_MS = -1.0
+
+MS_PER_S = 1000
+
+
+class Local(NamedTuple):
+    """The latest hello of a process of the VM."""
+
+    hello: Hello
+    heard: float
+
+
+@part_of('agent')
+class GrantService(Part):
+    """Grant leases, pass on views, and see the VM off at shutdown."""
+
+    def __init__(self, state: NodeState, rng: Random) -> None:
+        super().__init__(state, rng)
+        self.control = control_of(state)
+        self._locals: dict[str, Local] = {}
+        self._passed: dict[str, dict[str, float | None]] = {}
+        self._asked: float | None = None
+        self._due = 0.0
+
+    def next_wake(self) -> float | None:
+        """Return when to look after the processes of the VM next."""
+        return None if self._asked is None else self._due
+
+    def wake(self, now: float) -> Iterable[Action]:
+        """Look whether the VM is empty; then tell the others it is gone."""
+        self._due = now + SEND_S
+        if not self.busy(now):
+            self.control.departed = True
+            self.control.urgent = True
+            self.control.roster.mark(self.state.uid.vm, 'dead', now)
+        return ()
+
+    def busy(self, now: float) -> bool:
+        """Return whether the VM has not left yet."""
+        if self._asked is None:
+            return False
+        present = any(
+            now < local.heard + AGENT_SILENCE_S
+            for local in self._locals.values()
+        )
+        just_asked = now < self._asked + AGENT_SILENCE_S
+        late = now >= self._asked + HANDOVER_S
+        return present or just_asked or (self._listed() and not late)
+
+    @handles(ShutdownAsked)
+    def shut_down(self, event: ShutdownAsked, now: float) -> Iterable[Action]:
+        """Leave: tell the others at once, stay until the VM is empty."""
+        if self._asked is None:
+            self._asked = now
+            self._due = now + SEND_S
+            self._leave(now)
+        return ()
+
+    @handles(PeerMessage, 'hello')
+    def grant(self, event: PeerMessage, now: float) -> Iterator[Action]:
+        """Answer a hello with a grant, and with views that changed."""
+        hello: Hello = event.message  # type: ignore[assignment]
+        if event.sender.partition('/')[0] != self.state.uid.vm:
+            return
+        self._locals[hello['role']] = Local(hello, now)
+        self._follow(now)
+        yield from self._pass_views(hello, now)
+        permission = self.control.permission(now)
+        left = min(GRANT_S, max(0.0, permission.until - now))
+        grant = Grant(
+            kind='grant',
+            sequence=hello['sequence'],
+            lease_ms=left * MS_PER_S,
+            reason=permission.reason,
+            generation=max(
+                self.control.told,
+                self.state.config['generation'],
+            ),
+            suspended=self.control.intents.suspended(now),
+            pulses=self._pulses(now) if hello['role'] == 'entry' else [],
+        )
+        yield self._to_local(hello['role'], grant, now)
+
+    def status(self, now: float) -> Mapping[str, Any]:
+        """Return the processes of the VM, with the generation in force."""
+        return {
+            role: {
+                'generation': local.hello['generation'],
+                'silent_ms': round((now - local.heard) * MS_PER_S),
+                'leaving': local.hello['leaving'],
+            }
+            for role, local in self._locals.items()
+        }
+
+    def _follow(self, now: float) -> None:
+        control = self.control
+        hellos = [
+            local.hello
+            for local in self._locals.values()
+            if now < local.heard + AGENT_SILENCE_S
+        ]
+        leaving = self._asked is not None or any(
+            hello['leaving'] for hello in hellos
+        )
+        if leaving and not control.leaving:
+            self._leave(now)
+        if control.leaving and not leaving:
+            control.leaving = False
+            control.roster.rejoin(now)
+        loads = [hello['load'] for hello in hellos if hello['role'] == 'entry']
+        generations = [hello['generation'] for hello in hellos]
+        permitted = control.permission(now).until > now
+        control.pulse = Pulse(
+            vm=self.state.uid.vm,
+            load=max(loads, default=0.0),
+            serving=permitted and bool(loads),
+            leaving=control.leaving,
+            generation=min(
+                [*generations, self.state.config['generation']],
+            ),
+            age_ms=0.0,
+        )
+
+    def _leave(self, now: float) -> None:
+        self.control.leaving = True
+        self.control.urgent = True
+        self.control.pulse = {**self.control.pulse, 'leaving': True}
+        self.control.roster.mark(self.state.uid.vm, 'leaving', now)
+
+    def _listed(self) -> bool:
+        vm = self.state.uid.vm
+        return any(member['vm'] == vm for member in self.state.members())
+
+    def _pass_views(self, hello: Hello, now: float) -> Iterator[Action]:
+        succession = self.control.succession
+        takeovers = {
+            domain: succession.takeover(domain) for domain in self.state.views
+        }
+        passed = self._passed.get(hello['role'])
+        current = self.state.view_versions()
+        if hello['views'] == current and passed == takeovers:
+            return
+        self._passed[hello['role']] = takeovers
+        viewed = Viewed(
+            kind='viewed',
+            views=[
+                view
+                for domain, view in self.state.views.items()
+                if hello['views'].get(domain, 0) < view['version']
+            ],
+            takeover={
+                domain: UNKNOWN_MS
+                if when is None
+                else max(0.0, when - now) * MS_PER_S
+                for domain, when in takeovers.items()
+            },
+        )
+        yield self._to_local(hello['role'], viewed, now)
+
+    def _pulses(self, now: float) -> list[Pulse]:
+        control = self.control
+        news: list[Pulse] = [
+            {
+                **heard.pulse,
+                'age_ms': (now - heard.said) * MS_PER_S,
+                'serving': heard.pulse['serving']
+                and control.roster.state(vm) == 'alive',
+            }
+            for vm, heard in control.heard.items()
+            if now < heard.said + PULSE_S
+        ]
+        return [control.pulse, *news][:PULSES_SENT]
+
+    def _to_local(
+        self,
+        role: str,
+        message: Mapping[str, Any],
+        now: float,
+    ) -> SendPeer:
+        addresses = self.state.settings['addresses']
+        address = addresses['entry_peer' if role == 'entry' else 'leaf_peer']
+        return SendPeer(
+            f'{self.state.uid.vm}/{role}',
+            address,
+            message,
+            now + SEND_S,
+        )
--- /dev/null
+++ b/rosemaryweir/membership/prober.py
@@ -0,0 +1,129 @@
+"""Probing: which VM to ask next, which have not answered, whom to suspect."""
+
+import math
+from collections.abc import Iterable, Iterator, Sequence
+from random import Random
+from typing import NamedTuple
+
+from rosemaryweir.schema.generated.control import Member
+
+__all__ = ['Missing', 'Prober', 'Rotation', 'suspicion_time']
+
+#: Time for a direct answer before others are asked to probe, in seconds.
+DIRECT_S = 0.2
+
+#: Time for any answer before a VM is suspected, in seconds.
+PROBE_S = 0.6
+
+#: Suspicion lasts so long for each tenfold size of the fleet, in seconds.
+SUSPICION_S = 1.0
+
+#: A wake so late means that this process was paused, in seconds.
+PAUSE_S = 0.4
+
+
+def suspicion_time(size: int) -> float:
+    """Return how long a VM stays suspected before it counts as dead.
+
+    Examples
+    --------
+    >>> [round(suspicion_time(size), 1) for size in (9, 90, 900)]
+    [1.0, 2.0, 3.0]
+    """
+    return SUSPICION_S * max(1.0, math.log10(size + 1))
+
+
+class Rotation:
+    """Rounds over a changing set of names, each in a new random order."""
+
+    def __init__(self, rng: Random) -> None:
+        self._rng = rng
+        self._order: list[str] = []
+
+    def next(self, names: Sequence[str]) -> str | None:
+        """Return the next name, or None when there is none."""
+        present = set(names)
+        while self._order:
+            name = self._order.pop()
+            if name in present:
+                return name
+        if not names:
+            return None
+        self._order = sorted(names)
+        self._rng.shuffle(self._order)
+        return self._order.pop()
+
+
+class Missing(NamedTuple):
+    """A probe without answer: ask others, or suspect."""
+
+    vm: str
+    suspect: bool
+
+
+class Probe(NamedTuple):
+    """A probe under way."""
+
+    vm: str
+    sent: float
+    relayed: bool = False
+
+
+class Prober:
+    """Probes under way, by sequence number."""
+
+    def __init__(self) -> None:
+        self._sequence = 0
+        self._probes: dict[int, Probe] = {}
+        self._due = 0.0
+
+    def start(self, member: Member, now: float) -> int:
+        """Note a probe; return its sequence number."""
+        self._sequence += 1
+        self._probes[self._sequence] = Probe(member['vm'], now)
+        return self._sequence
+
+    def answered(self, vm: str, sequence: int) -> float | None:
+        """Take an answer; return when its probe was sent.
+
+        Every older probe of that VM is answered by it, too.
+        """
+        probe = self._probes.get(sequence)
+        if probe is None or probe.vm != vm:
+            return None
+        self._drop(
+            number
+            for number, other in self._probes.items()
+            if other.vm == vm and other.sent <= probe.sent
+        )
+        return probe.sent
+
+    def excuse(self, vm: str) -> None:
+        """Take it that a VM answered somebody else."""
+        self._drop(
+            number for number, probe in self._probes.items() if probe.vm == vm
+        )
+
+    def missing(self, now: float) -> Iterator[Missing]:
+        """Yield what has not been answered in time, once for each step.
+
+        After a pause of this process nothing is yielded, as the answers may
+        still wait to be read.
+        """
+        late = now > self._due + PAUSE_S and self._due
+        self._due = now
+        if late:
+            self._probes.clear()
+            return
+        for number, probe in tuple(self._probes.items()):
+            waited = now - probe.sent
+            if waited >= PROBE_S:
+                self._probes.pop(number)
+                yield Missing(probe.vm, suspect=True)
+            elif waited >= DIRECT_S and not probe.relayed:
+                self._probes[number] = probe._replace(relayed=True)
+                yield Missing(probe.vm, suspect=False)
+
+    def _drop(self, numbers: Iterable[int]) -> None:
+        for number in tuple(numbers):
+            self._probes.pop(number)
--- /dev/null
+++ b/rosemaryweir/membership/roster.py
@@ -0,0 +1,181 @@
+"""The roster: what an agent believes of every VM, merged from gossip."""
+
+import math
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
+
+from rosemaryweir.schema.generated.control import Member
+
+__all__ = ['PRESENT', 'Roster']
+
+#: States in which a VM takes part.
+PRESENT = ('alive', 'suspect')
+
+#: Which of two reports of one incarnation wins.
+PRECEDENCE = {'alive': 0, 'suspect': 1, 'leaving': 2, 'dead': 3}
+
+#: Changes that one message carries.
+DELTAS_SENT = 6
+
+#: Transmissions of one change, for each doubling of the fleet.
+TRANSMISSIONS = 3
+
+#: How long a dead VM is remembered, in seconds.
+DEAD_KEPT_S = 60.0
+
+
+class Record(NamedTuple):
+    """A member and since when it is in its state."""
+
+    member: Member
+    since: float
+
+
+class Roster:
+    """Members by name, with the changes that are still to be spread.
+
+    Parameters
+    ----------
+    itself : Member
+        The VM of this agent.
+
+    Notes
+    -----
+    The rules are those of SWIM [1]_: a report of a higher incarnation wins;
+    within an incarnation the graver state wins; only a VM itself raises its
+    incarnation, to refute a suspicion.
+
+    References
+    ----------
+    .. [1] A. Das, I. Gupta, A. Motivala, "SWIM: Scalable Weakly-consistent
+       Infection-style Process Group Membership Protocol", DSN 2002.
+    """
+
+    def __init__(self, itself: Member) -> None:
+        self.itself = itself
+        self._records: dict[str, Record] = {}
+        self._spread: dict[str, int] = {}
+        self._put(itself, 0.0)
+
+    def member(self, vm: str) -> Member | None:
+        """Return what is known of a VM."""
+        record = self._records.get(vm)
+        return None if record is None else record.member
+
+    def since(self, vm: str) -> float:
+        """Return since when a VM is in its state."""
+        return self._records[vm].since
+
+    def state(self, vm: str) -> str:
+        """Return the state of a VM; empty when it is not known."""
+        record = self._records.get(vm)
+        return '' if record is None else record.member['state']
+
+    def present(self, domain: str = '') -> list[Member]:
+        """Return the members that take part, by name."""
+        return sorted(
+            (
+                record.member
+                for record in self._records.values()
+                if record.member['state'] in PRESENT
+                and domain in {'', record.member['domain']}
+            ),
+            key=lambda member: member['vm'],
+        )
+
+    def peers(self) -> list[Member]:
+        """Return the other members that can be probed."""
+        return [
+            record.member
+            for record in self._records.values()
+            if record.member['state'] != 'dead'
+            and record.member['vm'] != self.itself['vm']
+        ]
+
+    def suspects(self) -> Iterator[Record]:
+        """Yield the suspected members."""
+        return (
+            record
+            for record in self._records.values()
+            if record.member['state'] == 'suspect'
+        )
+
+    def take(self, report: Member, now: float) -> bool:
+        """Merge a report; return whether it changed anything."""
+        vm = report['vm']
+        if vm == self.itself['vm']:
+            return self._take_own(report, now)
+        known = self._records.get(vm)
+        if known is not None and not _wins(report, known.member):
+            return False
+        self._put(report, now)
+        return True
+
+    def take_all(self, reports: Iterable[Member], now: float) -> list[Member]:
+        """Merge reports; return those that changed something."""
+        return [report for report in reports if self.take(report, now)]
+
+    def mark(self, vm: str, state: str, now: float) -> bool:
+        """Put a VM into another state of its incarnation."""
+        known = self._records.get(vm)
+        if known is None or known.member['state'] == state:
+            return False
+        report: Member = {**known.member, 'state': state}  # type: ignore[typeddict-item]
+        if vm == self.itself['vm']:
+            self._put(report, now)
+            return True
+        return self.take(report, now)
+
+    def rejoin(self, now: float) -> None:
+        """Come back alive, as a higher incarnation."""
+        raised = self.itself['incarnation'] + 1
+        self._put({**self.itself, 'state': 'alive', 'incarnation': raised}, now)
+
+    def deltas(self) -> list[Member]:
+        """Return the changes that the next message carries."""
+        chosen = sorted(
+            self._spread,
+            key=lambda vm: self._spread[vm],
+            reverse=True,
+        )[:DELTAS_SENT]
+        for name in chosen:
+            self._spread[name] -= 1
+            if self._spread[name] <= 0:
+                self._spread.pop(name)
+        return [self._records[vm].member for vm in chosen]
+
+    def forget(self, now: float) -> None:
+        """Forget VMs that have been dead for long."""
+        old = [
+            vm
+            for vm, record in self._records.items()
+            if record.member['state'] == 'dead'
+            and now > record.since + DEAD_KEPT_S
+            and vm != self.itself['vm']
+        ]
+        for vm in old:
+            self._records.pop(vm)
+            self._spread.pop(vm, None)
+
+    def _take_own(self, report: Member, now: float) -> bool:
+        if report['incarnation'] < self.itself['incarnation']:
+            return False
+        if report['state'] in {self.itself['state'], 'alive', 'leaving'}:
+            return False
+        raised = report['incarnation'] + 1
+        self._put({**self.itself, 'incarnation': raised}, now)
+        return True
+
+    def _put(self, member: Member, now: float) -> None:
+        vm = member['vm']
+        if vm == self.itself['vm']:
+            self.itself = member
+        self._records[vm] = Record(member, now)
+        doublings = math.ceil(math.log2(len(self._records) + 1))
+        self._spread[vm] = TRANSMISSIONS * doublings
+
+
+def _wins(report: Member, known: Member) -> bool:
+    if report['incarnation'] != known['incarnation']:
+        return report['incarnation'] > known['incarnation']
+    return PRECEDENCE[report['state']] > PRECEDENCE[known['state']]
--- /dev/null
+++ b/rosemaryweir/membership/service.py
@@ -0,0 +1,406 @@
+"""Heartbeats between agents: probing, gossip, evidence, views by gossip."""
+
+from collections.abc import Iterable, Iterator, Mapping
+from random import Random
+from typing import Any
+
+from rosemaryweir.membership import grants, view_service
+from rosemaryweir.membership.control import control_of
+from rosemaryweir.membership.directory_choice import Heard
+from rosemaryweir.membership.prober import (
+    Prober,
+    Rotation,
+    suspicion_time,
+)
+from rosemaryweir.membership.ranks import children, parent, rank_of
+from rosemaryweir.node.action import Action, LogEvent, SendPeer
+from rosemaryweir.node.catalogue import register_event
+from rosemaryweir.node.event import PeerMessage
+from rosemaryweir.node.part import Part, handles, part_of
+from rosemaryweir.node.state import NodeState
+from rosemaryweir.schema.generated.control import (
+    Ack,
+    Fetch,
+    Heartbeat,
+    Known,
+    Member,
+    PingAck,
+    PingReq,
+    Views,
+)
+
+__all__ = ['MembershipService', 'grants', 'view_service']
+
+MEMBER_CHANGED = register_event(
+    610,
+    'membership.changed',
+    'info',
+    'A VM joined, is suspected, leaves or is gone.',
+)
+
+#: Pause between two rounds, in seconds.
+ROUND_S = 0.25
+
+#: Fleet up to which every round probes one VM of any failure domain.
+SMALL_FLEET = 32
+
+#: VMs that are asked to probe for another.
+HELPERS = 3
+
+#: Pause between two attempts to reach the seeds, in seconds.
+SEED_S = 1.0
+
+#: VMs that are told of a change at once.
+URGENT = 4
+
+#: Views that one message carries.
+VIEWS_SENT = 4
+
+#: Time after which an unsent message is worth nothing, in seconds.
+SEND_S = 0.5
+
+#: How long news of a VM are remembered, in seconds.
+HEARD_KEPT_S = 60.0
+
+#: States that a VM refutes when it learns of them.
+ACCUSED = ('suspect', 'dead')
+
+
+@part_of('agent')
+class MembershipService(Part):
+    """Exchange heartbeats with a bounded number of agents each round."""
+
+    def __init__(self, state: NodeState, rng: Random) -> None:
+        super().__init__(state, rng)
+        self.control = control_of(state)
+        self._prober = Prober()
+        self._near = Rotation(rng)
+        self._all = Rotation(rng)
+        self._due = 0.0
+        self._rounds = 0
+        self._seed_due = 0.0
+        self._helping: dict[int, tuple[str, str, int]] = {}
+
+    def next_wake(self) -> float | None:
+        """Return the time of the next round."""
+        return 0.0 if self.control.urgent else self._due
+
+    def wake(self, now: float) -> Iterator[Action]:
+        """Tell others of changes at once; probe, suspect, bury in rounds."""
+        yield from self._announce(now)
+        if now >= self._due:
+            yield from self._round(now)
+
+    def _round(self, now: float) -> Iterator[Action]:
+        self._due = now + ROUND_S
+        self._rounds += 1
+        for missing in self._prober.missing(now):
+            if missing.suspect:
+                yield from self._mark(missing.vm, 'suspect', now)
+            else:
+                yield from self._ask_helpers(missing.vm, now)
+        yield from self._bury(now)
+        for member in self._chosen():
+            yield self._probe(member, now)
+        yield from self._seek(now)
+        self._forget(now)
+
+    @handles(PeerMessage, 'heartbeat')
+    def answer(self, event: PeerMessage, now: float) -> Iterator[Action]:
+        """Answer a heartbeat with what is known here."""
+        message: Heartbeat = event.message  # type: ignore[assignment]
+        known = message['known']
+        yield from self._learn(known, now)
+        control = self.control
+        control.permission(now)
+        ack = Ack(
+            kind='ack',
+            sequence=message['sequence'],
+            known=self._known(now, known['member']['vm']),
+            fresh=control.fence.fresh_ages(now),
+            quorums=control.fence.quorum_ages(now),
+            vouches=control.fence.vouches,
+            settled=control.succession.settled(now),
+        )
+        yield self._send(known['member'], ack, now)
+
+    @handles(PeerMessage, 'ack')
+    def take_answer(self, event: PeerMessage, now: float) -> Iterator[Action]:
+        """Take an answer: its sender is alive, its evidence counts."""
+        ack: Ack = event.message  # type: ignore[assignment]
+        known = ack['known']
+        vm = known['member']['vm']
+        sent = self._prober.answered(vm, ack['sequence'])
+        helped = self._helping.pop(ack['sequence'], None)
+        yield from self._learn(known, now)
+        if sent is None:
+            return
+        if helped is not None:
+            yield self._help_done(helped, vm, now)
+        self._take_evidence(ack, sent, now)
+
+    @handles(PeerMessage, 'ping_req')
+    def help_probe(self, event: PeerMessage, now: float) -> Iterator[Action]:
+        """Probe a VM for another agent."""
+        message: PingReq = event.message  # type: ignore[assignment]
+        member = self.control.roster.member(message['vm'])
+        asker = self.control.roster.member(event.sender.partition('/')[0])
+        if member is not None and asker is not None:
+            probe = self._probe(member, now)
+            sequence = int(probe.message['sequence'])
+            self._helping[sequence] = (
+                asker['vm'],
+                asker['agent_peer'],
+                message['sequence'],
+            )
+            self._helping.pop(sequence - 256, None)
+            yield probe
+
+    @handles(PeerMessage, 'ping_ack')
+    def take_help(self, event: PeerMessage, now: float) -> Iterable[Action]:
+        """Take it that a VM answered another agent."""
+        self._prober.excuse(str(event.message['vm']))
+        return ()
+
+    @handles(PeerMessage, 'fetch')
+    def send_views(self, event: PeerMessage, now: float) -> Iterator[Action]:
+        """Send the views that a peer lacks."""
+        message: Fetch = event.message  # type: ignore[assignment]
+        sender = self.control.roster.member(event.sender.partition('/')[0])
+        newer = [
+            view
+            for domain, view in self.state.views.items()
+            if view['version'] > message['views'].get(domain, 0)
+        ]
+        if sender is not None and newer:
+            views = Views(kind='views', views=newer[:VIEWS_SENT])
+            yield self._send(sender, views, now)
+
+    @handles(PeerMessage, 'views')
+    def take_views(self, event: PeerMessage, now: float) -> Iterable[Action]:
+        """Adopt views that a peer sent."""
+        message: Views = event.message  # type: ignore[assignment]
+        self.control.adopt(message['views'], now)
+        return self._announce(now)
+
+    def status(self, now: float) -> Mapping[str, Any]:
+        """Return what is believed of every VM, with its generation."""
+        control = self.control
+        heard = control.heard
+        return {
+            'members': {
+                member['vm']: {
+                    'state': member['state'],
+                    'domain': member['domain'],
+                    'generation': heard[member['vm']].pulse['generation']
+                    if member['vm'] in heard
+                    else None,
+                }
+                for member in [control.roster.itself, *control.roster.peers()]
+            },
+            'watches': control.watches(),
+            'permission': control.permission(now).reason,
+            'settled': control.succession.settled(now),
+        }
+
+    def _chosen(self) -> Iterator[Member]:
+        roster = self.control.roster
+        peers = {member['vm']: member for member in roster.peers()}
+        if len(peers) <= SMALL_FLEET or self._rounds % 2:
+            name = self._all.next(list(peers))
+            if name is not None:
+                yield peers[name]
+        ranked = self.control.ranked()
+        rank = rank_of(self.state.uid.vm, ranked)
+        near = [member['vm'] for member in ranked if member['vm'] in peers]
+        elder = parent(rank, ranked, self.rng) if self._rounds % 2 else None
+        if elder is not None and len(near) > SMALL_FLEET:
+            yield elder
+        else:
+            name = self._near.next(near)
+            if name is not None:
+                yield peers[name]
+
+    def _probe(self, member: Member, now: float) -> SendPeer:
+        sequence = self._prober.start(member, now)
+        heartbeat = Heartbeat(
+            kind='heartbeat',
+            sequence=sequence,
+            known=self._known(now, member['vm']),
+        )
+        return self._send(member, heartbeat, now)
+
+    def _known(self, now: float, receiver: str = '') -> Known:
+        control = self.control
+        deltas = control.roster.deltas()
+        about = control.roster.member(receiver)
+        if about is not None and about['state'] in ACCUSED:
+            deltas.append(about)
+        return Known(
+            member=control.roster.itself,
+            pulse=control.pulse,
+            versions=dict(self.state.view_versions()),
+            generation=self.state.config['generation'],
+            digest=control.digest,
+            deltas=deltas,
+            intents=control.intents.relayed(now),
+        )
+
+    def _learn(self, known: Known, now: float) -> Iterator[Action]:
+        control = self.control
+        member = known['member']
+        vm = member['vm']
+        changed = control.roster.take_all([member, *known['deltas']], now)
+        for report in changed:
+            yield _log_change(report)
+        control.heard[vm] = Heard(known['pulse'], now)
+        control.intents.take(known['intents'], now)
+        control.told = max(control.told, known['generation'])
+        control.succession.heard(vm, known['versions'])
+        tuple(control.succession.settle(now))
+        if self._lacks(known['versions']):
+            yield self._fetch(member, now)
+
+    def _take_evidence(
+        self,
+        ack: Ack,
+        sent: float,
+        now: float,
+    ) -> None:
+        control = self.control
+        vm = ack['known']['member']['vm']
+        newer = ack['known']['generation'] > self.state.config['generation']
+        if newer or self._lacks(ack['known']['versions']):
+            return
+        control.fence.relay(ack['fresh'], sent)
+        control.fence.relay_quorums(ack['quorums'], sent)
+        if ack['vouches']:
+            control.fence.vouched(vm, sent)
+        tuple(control.succession.told_settled(ack['settled'], now))
+
+    def _lacks(self, versions: Mapping[str, int]) -> bool:
+        own = self.state.views
+        return any(
+            domain not in own or own[domain]['version'] < version
+            for domain, version in versions.items()
+        )
+
+    def _fetch(self, member: Member, now: float) -> SendPeer:
+        fetch = Fetch(
+            kind='fetch',
+            generation=self.state.config['generation'],
+            chunk=0,
+            views=dict(self.state.view_versions()),
+        )
+        return self._send(member, fetch, now)
+
+    def _forget(self, now: float) -> None:
+        heard = self.control.heard
+        old = [
+            vm for vm, news in heard.items() if now > news.said + HEARD_KEPT_S
+        ]
+        for vm in old:
+            heard.pop(vm)
+
+    def _ask_helpers(self, vm: str, now: float) -> Iterator[Action]:
+        peers = [
+            member
+            for member in self.control.roster.peers()
+            if member['vm'] != vm and member['state'] == 'alive'
+        ]
+        member = self.control.roster.member(vm)
+        if member is None:
+            return
+        for helper in self.rng.sample(peers, min(HELPERS, len(peers))):
+            request = PingReq(
+                kind='ping_req',
+                sequence=0,
+                vm=vm,
+                address=member['agent_peer'],
+            )
+            yield self._send(helper, request, now)
+
+    def _help_done(
+        self,
+        asker: tuple[str, str, int],
+        vm: str,
+        now: float,
+    ) -> SendPeer:
+        name, address, sequence = asker
+        ack = PingAck(kind='ping_ack', sequence=sequence, vm=vm)
+        return SendPeer(f'{name}/agent', address, ack, now + SEND_S)
+
+    def _bury(self, now: float) -> Iterator[Action]:
+        roster = self.control.roster
+        limit = suspicion_time(len(roster.peers()) + 1)
+        expired = [
+            record.member['vm']
+            for record in roster.suspects()
+            if now >= record.since + limit
+        ]
+        for vm in expired:
+            yield from self._mark(vm, 'dead', now)
+        roster.forget(now)
+
+    def _mark(self, vm: str, state: str, now: float) -> Iterator[Action]:
+        if self.control.roster.mark(vm, state, now):
+            member = self.control.roster.member(vm)
+            assert member is not None
+            yield _log_change(member)
+
+    def _seek(self, now: float) -> Iterator[Action]:
+        if self.control.heard and self._rounds % 40:
+            return
+        if now < self._seed_due:
+            return
+        self._seed_due = now + SEED_S
+        for seed in self.state.settings.get('seeds', ()):
+            if seed['vm'] != self.state.uid.vm:
+                heartbeat = Heartbeat(
+                    kind='heartbeat',
+                    sequence=0,
+                    known=self._known(now),
+                )
+                yield SendPeer(
+                    f'{seed["vm"]}/agent',
+                    seed['agent_peer'],
+                    heartbeat,
+                    now + SEND_S,
+                )
+
+    def _announce(self, now: float) -> Iterator[Action]:
+        if not self.control.urgent:
+            return
+        self.control.urgent = False
+        for member in self._urgent():
+            yield self._probe(member, now)
+
+    def _urgent(self) -> list[Member]:
+        ranked = self.control.ranked()
+        rank = rank_of(self.state.uid.vm, ranked)
+        peers = self.control.roster.peers()
+        drawn = self.rng.sample(peers, min(URGENT, len(peers)))
+        unique = {
+            member['vm']: member for member in [*children(rank, ranked), *drawn]
+        }
+        return list(unique.values())
+
+    def _send(
+        self,
+        member: Member,
+        message: Mapping[str, Any],
+        now: float,
+    ) -> SendPeer:
+        return SendPeer(
+            f'{member["vm"]}/agent',
+            member['agent_peer'],
+            message,
+            now + SEND_S,
+        )
+
+
+def _log_change(member: Member) -> LogEvent:
+    return LogEvent(
+        MEMBER_CHANGED,
+        {'vm': member['vm'], 'state': member['state']},
+    )
--- /dev/null
+++ b/rosemaryweir/membership/succession.py
@@ -0,0 +1,149 @@
+"""Succession: when targets that changed their owner may be taken over.
+
+A VM that a view leaves out, or that has lost targets by it, may not have seen
+it yet.  Its lease rests on store contact (direct or through a peer) or on a
+quorum that has seen nothing newer.  Once a quorum of the views that it may
+hold has adopted the new one, no such evidence can arise any more; what it had
+lapses `FRESH_S` later, plus the allowance for clock drift.
+"""
+
+from collections.abc import Iterator, Mapping
+from typing import NamedTuple
+
+from rosemaryweir.membership.quorum import has_quorum
+from rosemaryweir.membership.timing import FRESH_S
+from rosemaryweir.schema.generated.control import View
+
+__all__ = ['Succession']
+
+Names = tuple[str, ...]
+
+
+class Former(NamedTuple):
+    """A view that somebody may still hold."""
+
+    version: int
+    members: Names
+
+
+class Change(NamedTuple):
+    """The latest view of a failure domain and its succession.
+
+    ``takeover`` is the time from which its owners need no release, or None.
+    """
+
+    version: int
+    members: Names
+    former: tuple[Former, ...]
+    takeover: float | None
+
+
+class Succession:
+    """Which VM has adopted which view, and what follows for takeovers.
+
+    Parameters
+    ----------
+    skew : float
+        Allowance for clock drift, in seconds.
+    """
+
+    def __init__(self, skew: float) -> None:
+        self._skew = skew
+        self._changes: dict[str, Change] = {}
+        self._adopted: dict[str, dict[str, int]] = {}
+        self._gone: frozenset[str] = frozenset()
+
+    def adopt(self, view: View, now: float) -> None:
+        """Take a newer view."""
+        known = self._changes.get(view['domain'])
+        told = tuple(
+            Former(0, tuple(names)) for names in view.get('former', ())
+        )
+        own: tuple[Former, ...] = ()
+        if known is not None:
+            own = (*known.former, Former(known.version, known.members))
+        former = tuple({each.members: each for each in (*told, *own)}.values())
+        self._changes[view['domain']] = Change(
+            view['version'],
+            tuple(member['vm'] for member in view['members']),
+            former,
+            None if former else now,
+        )
+
+    def heard(self, vm: str, versions: Mapping[str, int]) -> None:
+        """Take it that a VM has adopted views; it can't undo that."""
+        adopted = self._adopted.setdefault(vm, {})
+        for domain, version in versions.items():
+            adopted[domain] = max(version, adopted.get(domain, 0))
+
+    def set_gone(self, vms: frozenset[str]) -> None:
+        """Take VMs as gone for good: they hold no lease."""
+        self._gone = vms
+
+    def settle(self, now: float) -> Iterator[str]:
+        """Yield the failure domains whose takeover time became known."""
+        for domain, change in self._changes.items():
+            if change.takeover is None and self._has_quorum(domain, change):
+                takeover = now + FRESH_S + self._skew
+                self._changes[domain] = change._replace(takeover=takeover)
+                yield domain
+        self._close(now)
+
+    def told_settled(
+        self,
+        settled: Mapping[str, int],
+        now: float,
+    ) -> Iterator[str]:
+        """Take what a peer found settled; yield what is news."""
+        for domain, version in settled.items():
+            change = self._changes.get(domain)
+            if change is None or change.version != version:
+                continue
+            if change.takeover is None or change.takeover > now:
+                self._changes[domain] = change._replace(takeover=now)
+                yield domain
+        self._close(now)
+
+    def takeover(self, domain: str) -> float | None:
+        """Return the time from which owners need no release, or None."""
+        change = self._changes.get(domain)
+        return None if change is None else change.takeover
+
+    def former(self, domain: str) -> list[list[str]]:
+        """Return the member lists that somebody may still hold."""
+        change = self._changes.get(domain)
+        if change is None:
+            return []
+        lists = dict.fromkeys(
+            [*(each.members for each in change.former), change.members],
+        )
+        return [list(names) for names in lists]
+
+    def settled(self, now: float) -> dict[str, int]:
+        """Return the versions whose takeover time has passed."""
+        return {
+            domain: change.version
+            for domain, change in self._changes.items()
+            if change.takeover is not None and change.takeover <= now
+        }
+
+    def _close(self, now: float) -> None:
+        for domain, change in self._changes.items():
+            passed = change.takeover is not None and change.takeover <= now
+            if passed and change.former:
+                self._changes[domain] = change._replace(former=())
+
+    def _has_quorum(self, domain: str, change: Change) -> bool:
+        having = self._gone | {
+            vm
+            for vm, adopted in self._adopted.items()
+            if adopted.get(domain, 0) >= change.version
+        }
+        versions: dict[str, list[Names]] = {
+            other: [
+                *(each.members for each in found.former),
+                *(() if other == domain else (found.members,)),
+            ]
+            for other, found in self._changes.items()
+        }
+        return has_quorum(versions, having)
