--- /dev/null
+++ b/rosemaryweir/cli/demo.py
@@ -0,0 +1,230 @@
+"""The demo: the main job against processes that already stand.
+
+``tools/demo.sh`` starts the plain processes; this module writes their
+settings, applies the release note of a deployment, asks queries and places
+orders as callers do, and prints what came of it.
+"""
+
+import asyncio
+import json
+import pathlib
+import time
+from collections.abc import Iterator, Mapping
+from typing import Any, NamedTuple
+
+from rosemaryweir.cli.client import Answer, CallFailed, attempt, call
+from rosemaryweir.cli.show import latency_lines, plan_lines
+from rosemaryweir.daemons.load import Load, LoadPlan
+from rosemaryweir.daemons.load_tally import LoadSummary
+from rosemaryweir.schema.generated.settings import Settings
+from rosemaryweir.testing.deployment import (
+    DEPLOYMENTS,
+    Deployment,
+    config_of,
+    note_of,
+    vm_settings,
+)
+
+__all__ = ['Demo']
+
+VMS = 3
+STORE = '127.0.0.1:11999'
+QUERY_RATE = 30.0
+ORDER_RATE = 5.0
+LOAD_S = 10.0
+DEADLINE_MS = 2000
+PROBE_MS = 500
+READY_S = 30.0
+POLL_S = 0.2
+OK = 200
+
+
+class Demo(NamedTuple):
+    """The demo of one deployment.
+
+    Parameters
+    ----------
+    folder : Path
+        Where settings are.
+    deployment : Deployment
+        What is set up.
+    settings : list of Settings
+        One for each VM.
+    """
+
+    folder: pathlib.Path
+    deployment: Deployment
+    settings: list[Settings]
+
+    @classmethod
+    def from_folder(cls, folder: str, deployment: str) -> 'Demo':
+        """Return the demo of a deployment's name."""
+        chosen = DEPLOYMENTS[deployment]
+        return cls(
+            pathlib.Path(folder),
+            chosen,
+            vm_settings(chosen, VMS, store=STORE),
+        )
+
+    def write_files(self) -> Iterator[str]:
+        """Write settings, note and targets; yield the names of the VMs."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self._write('note', note_of(self.deployment))
+        self._write('targets', config_of(self.deployment))
+        for settings in self.settings:
+            self._write(settings['vm'], settings)
+            yield settings['vm']
+
+    def run(self) -> int:
+        """Run the main job; return the exit code."""
+        note = note_of(self.deployment)
+        agent = self.settings[0]['addresses']['agent_http']
+        print(f'release note {note["note"]}:')
+        print('\n'.join(list(plan_lines(note))[:8]), '\n  ...')
+        if not self._apply(agent, note):
+            print('the release note was not accepted in time')
+            return 1
+        if not self._wait_serving():
+            print('the VMs do not serve')
+            return 1
+        if not self._wait_complete():
+            print('no complete answer came')
+            return 1
+        print('the directory says:', _directory(self.settings[0]))
+        print(f'asking queries and orders for {LOAD_S:.0f} s ...')
+        summary = asyncio.run(Load(self._plan(), 'demo').run())
+        again = asyncio.run(self._ask_again())
+        print(f'{self.deployment.name}: {len(self.settings)} VMs')
+        print('\n'.join(_summary_lines(summary)))
+        print(f'  the same order at each VM in turn: {", ".join(again)}')
+        print('\n'.join(self._tier_lines()))
+        return self._verdict(summary)
+
+    def _write(self, name: str, content: Any) -> None:
+        path = self.folder / f'{name}.json'
+        path.write_text(json.dumps(content, indent=2))
+
+    def _apply(self, agent: str, note: Any) -> bool:
+        ends = time.monotonic() + READY_S
+        while time.monotonic() < ends:
+            answer = call(agent, 'POST', '/v1/notes', note).value_or(None)
+            if answer is not None and answer.status == OK:
+                return True
+            time.sleep(POLL_S)
+        return False
+
+    def _wait_serving(self) -> bool:
+        ends = time.monotonic() + READY_S
+        waiting = [each['addresses']['entry_http'] for each in self.settings]
+        while waiting and time.monotonic() < ends:
+            waiting = [each for each in waiting if not _serves(each)]
+            time.sleep(POLL_S)
+        return not waiting
+
+    def _wait_complete(self) -> bool:
+        """Ask until one query of each service has a complete answer."""
+        began = time.monotonic()
+        address = self._entries()[0]
+        waiting = list(self._services('query'))
+        while waiting and time.monotonic() < began + READY_S:
+            waiting = [each for each in waiting if not _complete(address, each)]
+        took = time.monotonic() - began
+        print(f'first complete answers {took:.1f} s after the VMs serve')
+        return not waiting
+
+    def _plan(self) -> LoadPlan:
+        return LoadPlan(
+            entries=tuple(self._entries()),
+            services=self._services('query'),
+            order_services=self._services('order'),
+            rate=QUERY_RATE,
+            order_rate=ORDER_RATE,
+            seconds=LOAD_S,
+            deadline_ms=DEADLINE_MS,
+            classes=tuple(sorted(self.deployment.classes)),
+            domain=self.deployment.domains[0],
+        )
+
+    async def _ask_again(self) -> list[str]:
+        """Place one order at every VM in turn; return what each says."""
+        body = {
+            'service': self._services('order')[0],
+            'order_key': 'demo-again',
+            'body': 'one disc',
+        }
+        said = []
+        for address in self._entries():
+            answer = await attempt(address, 'POST', '/v1/order', body)
+            said.append(_order_outcome(answer))
+        return said
+
+    def _entries(self) -> list[str]:
+        return [each['addresses']['entry_http'] for each in self.settings]
+
+    def _services(self, work: str) -> tuple[str, ...]:
+        return tuple(
+            size.name for size in self.deployment.services if size.work == work
+        )
+
+    def _tier_lines(self) -> Iterator[str]:
+        yield 'latency inside the tier, in ms:'
+        for settings in self.settings:
+            address = settings['addresses']['entry_http']
+            answer = call(address, 'GET', '/v1/status').value_or(None)
+            if answer is not None:
+                yield f'  {settings["vm"]}'
+                yield from (
+                    f'    {line}'
+                    for line in latency_lines(answer.body['latency_ms'])
+                )
+
+    def _verdict(self, summary: LoadSummary) -> int:
+        targets = config_of(self.deployment)['targets']
+        address = next(iter(targets.values()))['address']
+        stats = call(address, 'GET', '/admin/stats').unwrap().body
+        print(f'orders run by the targets: {len(stats["order_runs"])}')
+        print(f'orders that ran more than once: {stats["doubled"]}')
+        print(f'untrue answers: {summary["untrue"]}')
+        answered = sum(summary['outcomes'].values())
+        return int(stats['doubled'] or summary['untrue'] or not answered)
+
+
+def _summary_lines(summary: LoadSummary) -> Iterator[str]:
+    for title in ('outcomes', 'refusals', 'errors'):
+        counts: Mapping[str, int] = summary[title]
+        for name, count in sorted(counts.items()):
+            yield f'  {title:9} {name:30} {count}'
+    for name, share in summary['coverage'].items():
+        yield f'  coverage  {name:30} {share:.2%}'
+    yield 'latency as callers saw it, in ms:'
+    yield from (f'  {line}' for line in latency_lines(summary['latency_ms']))
+
+
+def _order_outcome(answer: Answer | CallFailed) -> str:
+    if isinstance(answer, CallFailed):
+        return answer.reason
+    outcome = answer.body.get('outcome') or answer.body['reason']
+    return f'{outcome}{" (recorded)" if answer.body.get("recorded") else ""}'
+
+
+def _complete(address: str, service: str) -> bool:
+    body = {'service': service, 'query': 'ready?', 'deadline_ms': PROBE_MS}
+    answer = call(address, 'POST', '/v1/query', body).value_or(None)
+    return answer is not None and answer.body.get('outcome') == 'complete'
+
+
+def _directory(settings: Settings) -> str:
+    address = settings['addresses']['entry_http']
+    path = f'/v1/directory?domain={settings["domain"]}'
+    answer = call(address, 'GET', path).unwrap()
+    return ', '.join(
+        f'{use["vm"]} {use["address"]}' for use in answer.body['use']
+    )
+
+
+def _serves(address: str) -> bool:
+    answer = call(address, 'GET', '/v1/health').value_or(None)
+    if answer is None:
+        return False
+    body = answer.body
+    return bool(body.get('serving') and body.get('generation', 0) >= 1)
