--- a/rosemaryweir/query/replica.py
+++ b/rosemaryweir/query/replica.py
@@ -15,6 +15,8 @@
 UNSEEN = 1.5
 #: Factor on a target that shares leaf or failure domain with the first one.
 SHARED = 4
+#: Factor on a target that its leaf may not use now.
+CLOSED = 1000
 #: A score from which on all replicas are looked at.
 POOR = 10
 #: A score that rules a replica out.
@@ -66,6 +68,8 @@
     cost *= sight.weight
     if sight.trial and pending:
         cost *= POOR / sight.latency
+    if now < sight.closed_until:
+        cost *= CLOSED
     if replica.health.suspect and replica.health.closed(now):
         return NEVER
     if sight.current == key or not key[1]:
--- a/rosemaryweir/query/runner.py
+++ b/rosemaryweir/query/runner.py
@@ -27,6 +27,8 @@
 LOST_FOLD = 3
 #: Outcomes that say that a target lacks capacity.
 REFUSED = frozenset(('shed', 'timeout'))
+#: Outcomes that say that a leaf may not use a target now.
+CLOSED = frozenset(('out', 'not_owner'))
 
 
 class Runner:
@@ -169,6 +171,8 @@
             asked = (query.scatter.layout, attempt.version)
             sight.refuses(asked, (piece['layout'], piece['version']), now)
             query.lane.pin(query.scatter.layout).stale = True
+        elif outcome in CLOSED:
+            sight.closes(now)
         elif elsewhere(outcome):
             took = now - attempt.sent
             sight.took(max(took, LOST_FOLD * sight.latency), now)
--- a/rosemaryweir/query/sighting.py
+++ b/rosemaryweir/query/sighting.py
@@ -11,6 +11,8 @@
 NEW_SHARE = 0.15
 #: Latency assumed of a target that has not answered yet, in seconds.
 UNKNOWN_LATENCY_S = 0.01
+#: How long a target whose leaf may not use it is passed over, in seconds.
+CLOSED_S = 0.25
 #: How long a refusal of a version that may still arrive holds, in seconds.
 REFUSAL_S = 1
 #: Versions that are remembered for a target.
@@ -36,11 +38,14 @@
         Time of the last latency.
     weight : float
         Factor on its score; above 1 when it is ejected.
+    closed_until : float
+        Until then it is passed over: its leaf may not use it.
     current : VersionKey
         What it served last.
     """
 
     __slots__ = (
+        'closed_until',
         'current',
         'latency',
         'limit',
@@ -66,6 +71,7 @@
         self.samples = 0
         self.seen = 0.0
         self.weight = 1.0
+        self.closed_until = 0.0
         self.trial = False
         self.current: VersionKey = (0, 0)
         self.served: set[VersionKey] = set()
@@ -102,6 +108,10 @@
         self.limit = max(1, load['limit'])
         self.reported_at = now
 
+    def closes(self, now: float) -> None:
+        """Take that its leaf may not use it now."""
+        self.closed_until = now + CLOSED_S
+
     def serves(self, key: VersionKey) -> bool:
         """Take that it served a version; return whether that is news."""
         if key == self.current:
--- a/rosemaryweir/query/tests/test_choice.py
+++ b/rosemaryweir/query/tests/test_choice.py
@@ -135,3 +135,15 @@
         budget.earn()
         spent += budget.spend()
     assert spent <= 0.05 * 1000 + 10
+
+
+def test_target_that_its_leaf_may_not_use_is_passed_over_for_a_while():
+    closed, other = Sighting('t', 2), Sighting('u', 2)
+    closed.closes(now=1.0)
+    health = LeafHealth('vm/leaf')
+    replicas = [
+        Replica('t', 'd', 0.0, closed, health, ''),
+        Replica('u', 'd', 0.05, other, health, ''),
+    ]
+    assert choose(replicas, (1, 1), Random(1), 1.1).target == 'u'
+    assert choose(replicas, (1, 1), Random(1), 2.0).target == 't'
--- a/rosemaryweir/targets/account.py
+++ b/rosemaryweir/targets/account.py
@@ -108,7 +108,8 @@
             self.allowed,
             self.recent.mean,
         )
-        return now + wait < work.deadline
+        begins = now + wait - self.recent.mean
+        return begins < work.wait_until and now + wait < work.deadline
 
     def answered(self, work: Work, now: float) -> None:
         """Note an answer to an attempt: those sent before are overtaken."""
--- a/rosemaryweir/targets/connections.py
+++ b/rosemaryweir/targets/connections.py
@@ -20,7 +20,8 @@
 #: Wait after a failed opening, in s, and its cap; it doubles each time.
 BACKOFF = 0.05
 BACKOFF_CAP = 1.0
-#: An order goes on a connection that proved alive so lately, in s.
+#: A connection is believed, and an order sent on it, if it proved alive so
+#: lately, in s.
 PROVEN_WITHIN = 1.0
 
 
@@ -127,6 +128,13 @@
                     best = conn
         return best
 
+    def proven(self, since: float) -> bool:
+        """Return whether any connection has proved alive since a time."""
+        return any(
+            conn.opened and conn.alive_at >= since
+            for conn in self.conns.values()
+        )
+
     def stale(self, before: float) -> list[Conn]:
         """Return idle connections that last proved alive before a time."""
         return [
--- a/rosemaryweir/targets/dispatcher.py
+++ b/rosemaryweir/targets/dispatcher.py
@@ -81,7 +81,7 @@
         account.queue.push(work)
         self.pump(account, now)
         if not work.conn and not work.done:
-            self.timers.at(work.deadline, self._look, (account, work))
+            self.timers.at(work.wait_until, self._look, (account, work))
 
     def pump(self, account: Account, now: float) -> None:
         """Send what waits, as far as the limits allow."""
@@ -117,9 +117,13 @@
 
     def opened(self, account: Account, number: int, now: float) -> None:
         """Take a connection that stands now."""
-        if number in account.pool.conns:
-            account.pool.opened(number, now)
-            self.pump(account, now)
+        if number not in account.pool.conns:
+            return
+        if not account.pool.proven(now - PROVEN_WITHIN):
+            # It may have restarted while no connection would have told.
+            account.unsure(now)
+        account.pool.opened(number, now)
+        self.pump(account, now)
 
     def failed(self, account: Account, number: int, now: float) -> None:
         """Take the failure of an opening."""
@@ -260,7 +264,7 @@
         if work.done:
             return
         if not work.conn:
-            if now >= work.deadline:
+            if now >= work.wait_until:
                 account.queue.remove(work)
                 self._finish(work, Outcome('shed', 'no'), now)
             return
--- a/rosemaryweir/targets/service.py
+++ b/rosemaryweir/targets/service.py
@@ -38,8 +38,10 @@
 MS_PER_S = 1000.0
 #: Time between looks at lease, releases and withdrawn targets, in s.
 TICK = 0.1
-#: Time between two probes of a target, and two looks at the platform's list.
+#: Least time between two probes of a target, of one that is out, and between
+#: two looks at the platform's list.
 PROBE_EVERY = 1.0
+PROBE_EXCLUDED = 0.2
 PROBE_WITHIN = 0.5
 LIST_EVERY = 2.0
 #: Longest wait at shutdown for the views to leave this VM out, in s.
@@ -340,7 +342,8 @@
         if refusal == 'out' or not owned:
             self._close_idle(account, now)
         if owned and account.probe_at <= now:
-            account.probe_at = now + PROBE_EVERY * (1 + self.rng.random())
+            every = PROBE_EXCLUDED if refusal == 'out' else PROBE_EVERY
+            account.probe_at = now + every * (1 + self.rng.random())
             self.dispatcher.actions.append(
                 ProbeTarget(
                     account.name,
--- a/rosemaryweir/targets/tests/test_service.py
+++ b/rosemaryweir/targets/tests/test_service.py
@@ -66,7 +66,7 @@
     leaf.open_all()
     leaf.hang_up(leaf.sends[-1].conn, idle=False)
     assert leaf.outcomes()[first] == ('cut', 'unknown')
-    leaf.ask()
+    leaf.ask(remaining_ms=2000)
     leaf.open_all()
     assert len(leaf.sends) == 1
     leaf.to(leaf.now + 0.45)
@@ -110,6 +110,16 @@
     assert warm.account().warmth.cold
 
 
+def test_target_that_restarted_with_no_connection_open_is_unsure(warm):
+    send = warm.sends[-1]
+    warm.reply(send, attempt='stray')
+    sent = len(warm.sends)
+    for _ in range(3):
+        warm.ask()
+        warm.open_all()
+    assert len(warm.sends) - sent == 1
+
+
 def test_broken_connection_of_the_same_incarnation_is_forgiven(warm):
     warm.hang_up(next(iter(warm.account().pool.conns)))
     assert warm.account().allowed == 1
@@ -194,6 +204,14 @@
     assert leaf.outcomes()[waiting] == ('shed', 'no')
 
 
+def test_query_is_refused_while_it_can_still_go_elsewhere(leaf):
+    leaf.ask(remaining_ms=1000)
+    waiting = leaf.ask(remaining_ms=1000)
+    leaf.open_all()
+    leaf.to(leaf.now + 0.35)
+    assert leaf.outcomes()[waiting] == ('shed', 'no')
+
+
 def test_cancelled_attempt_holds_its_slot_until_answered(leaf):
     first, second, third = leaf.ask(), leaf.ask(), leaf.ask()
     leaf.open_all()
--- a/rosemaryweir/targets/work.py
+++ b/rosemaryweir/targets/work.py
@@ -8,6 +8,10 @@
 #: what the previous one left behind waits for so long.
 MAX_WORK = 2.0
 
+#: Share of its time that a query may wait in the queue of a target: enough is
+#: left to go elsewhere.  An order has nowhere else to go.
+QUEUE_SHARE = {'query': 0.3, 'order': 1.0}
+
 
 class Work:
     """An attempt: what to send, until when, and whom to tell.
@@ -20,6 +24,8 @@
         Whom to tell; None once the result has been told.
     since, sent_at : float
         When it arrived; when it was sent, or 0.
+    wait_until : float
+        When it is refused if it still waits.
     conn : int
         Connection that it was sent on; 0 while it waits.
     overtaken : int
@@ -44,6 +50,7 @@
         'subject',
         'target',
         'verify_at',
+        'wait_until',
     )
 
     def __init__(
@@ -65,6 +72,7 @@
         self.since = since
         self.deadline = deadline
         self.batch = batch
+        self.wait_until = since + QUEUE_SHARE[kind] * (deadline - since)
         self.sent_at = 0.0
         self.conn = 0
         self.overtaken = 0
