--- a/benchmarks/cold.py
+++ b/benchmarks/cold.py
@@ -93,10 +93,12 @@
             return
         self.begun[job.action.attempt] = self.scheduler.now
         self.unsigned_peak = max(self.unsigned_peak, len(self.running) + 1)
-        spec, peak = self.spec, self.cold_peak
+        spec = self.spec
+        peak = self.cold_peak
         self.spec = spec._replace(cold_slots=spec.slots)
         super()._start(job, remaining)
-        self.spec, self.cold_peak = spec, peak
+        self.spec = spec
+        self.cold_peak = peak
 
     def _finish(self, attempt: str, job: Job) -> None:
         begun = self.begun.pop(attempt, self.scheduler.now)
