--- a/rosemaryweir/query/sighting.py
+++ b/rosemaryweir/query/sighting.py
@@ -15,6 +15,8 @@
 LATE_SHARE = 0.5
 #: Latency assumed of a target that has not answered yet, in seconds.
 UNKNOWN_LATENCY_S = 0.01
+#: How long a target whose leaf may not use it is passed over, in seconds.
+CLOSED_S = 0.25
 #: An attempt given up counts as this multiple of the time waited for it.
 GIVEN_UP_FOLD = 2
 #: How long a refusal of a version that may still arrive holds, in seconds.
@@ -44,11 +46,14 @@
         Time of the last latency.
     weight : float
         Factor on its score; above 1 when it is ejected.
+    closed_until : float
+        Until then it is passed over: its leaf may not use it.
     current : VersionKey
         What it served last.
     """
 
     __slots__ = (
+        'closed_until',
         'current',
         'late',
         'latency',
@@ -76,6 +81,7 @@
         self.samples = 0
         self.seen = 0.0
         self.weight = 1.0
+        self.closed_until = 0.0
         self.trial = False
         self.current: VersionKey = (0, 0)
         self.served: set[VersionKey] = set()
@@ -128,6 +134,10 @@
         self.limit = max(1, load['limit'])
         self.reported_at = now
 
+    def closes(self, now: float) -> None:
+        """Take that its leaf may not use it now."""
+        self.closed_until = now + CLOSED_S
+
     def serves(self, key: VersionKey) -> bool:
         """Take that it served a version; return whether that is news."""
         if key == self.current:
