--- a/rosemaryweir/query/runner.py
+++ b/rosemaryweir/query/runner.py
@@ -8,7 +8,7 @@
 from rosemaryweir.query.pin import coverable
 from rosemaryweir.query.plan import Fleet, Plan
 from rosemaryweir.query.replica import Replica, choose, choose_other
-from rosemaryweir.query.retry import backoff, elsewhere
+from rosemaryweir.query.retry import backoff, elsewhere, worth_it
 from rosemaryweir.query.running import NEVER, Running, Wanted
 from rosemaryweir.query.sighting import VersionKey
 from rosemaryweir.schema.generated.query import Partial
@@ -230,7 +230,11 @@
             replica = self._other(query, wanted, now)
         if replica is None and self._better(query, now):
             return
-        if replica is None or not query.lane.retries.spend():
+        if (
+            replica is None
+            or not worth_it(replica.sight.weight > 1, wanted.rounds)
+            or not query.lane.retries.spend()
+        ):
             self._postpone(wanted, now)
         else:
             self.extra += 1
@@ -312,8 +316,8 @@
     def _hedge_one(self, query: Running, wanted: Wanted, now: float) -> None:
         replica = self._other(query, wanted, now)
         # A hedge that has to wait runs at the same time as the first attempt
-        # and only takes capacity from the shard.
-        if replica is None or not replica.sight.has_room:
+        # and only takes capacity from the shard, unless that is at a straggler.
+        if replica is None or not (replica.sight.has_room or wanted.on_trial):
             return
         if query.hedging.budget.spend():
             self.extra += 1
--- a/rosemaryweir/query/sighting.py
+++ b/rosemaryweir/query/sighting.py
@@ -31,9 +31,10 @@
     own : int
         Attempts of this entry in flight there.
     reported : int
-        Requests in flight and queued there, as its leaf last said.
+        Requests in flight and queued there, as its leaf last said; a limit
+        below the slots counts as slots in use.
     limit : int
-        Requests that it may run at once, as its leaf last said.
+        Its slots.
     latency : float
         Running mean of the latency, in seconds.
     late : float
@@ -124,8 +125,8 @@
 
     def take_load(self, load: Load, now: float) -> None:
         """Take what its leaf says of its load."""
-        self.reported = load['in_flight'] + load['queued']
-        self.limit = max(1, load['limit'])
+        ahead = load['in_flight'] + load['queued'] + 1
+        self.reported = ahead * self.limit // max(1, load['limit']) - 1
         self.reported_at = now
 
     def serves(self, key: VersionKey) -> bool:
--- a/rosemaryweir/targets/account.py
+++ b/rosemaryweir/targets/account.py
@@ -159,6 +159,14 @@
             self.warmth.chilled()
         return known
 
+    def crowding(self, now: float) -> int:
+        """Return how many requests would crowd the target as much, if warm.
+
+        Nothing is 0; a limit below the slots counts as slots in use.
+        """
+        ahead = self.slots.held(now) + len(self.queue) + 1
+        return ahead * self.limits.slots // max(1, self.allowed) - 1
+
     def load(self, now: float) -> Load:
         """Return what an entry is told of the target."""
         return Load(
--- a/rosemaryweir/targets/outbox.py
+++ b/rosemaryweir/targets/outbox.py
@@ -122,7 +122,7 @@
 
     def _pending(self, now: float) -> dict[str, int]:
         return {
-            name: account.slots.held(now) + len(account.queue)
+            name: account.crowding(now)
             for name, account in self.accounts.items()
         }
 
