--- a/rosemaryweir/query/runner.py
+++ b/rosemaryweir/query/runner.py
@@ -33,6 +33,8 @@
 LOST_FOLD = 3
 #: Outcomes that say that a target lacks capacity.
 REFUSED = frozenset(('shed', 'timeout'))
+#: Outcomes that say that a leaf may not use a target now.
+CLOSED = frozenset(('out', 'not_owner'))
 
 Pick = Callable[
     [Sequence[Replica], VersionKey, Random, float],
@@ -191,6 +193,8 @@
             asked = (query.scatter.layout, attempt.version)
             sight.refuses(asked, (piece['layout'], piece['version']), now)
             query.lane.pin(query.scatter.layout).stale = True
+        elif outcome in CLOSED:
+            sight.closes(now)
         elif elsewhere(outcome):
             took = now - attempt.sent
             slow = query.hedging.delay(now)
