Orders: old records shrink to hashes; no key is forgotten

Cause: buckets grow with every order, and a key older than the retention must still never run again. A retry of such a key is `expired`, ran `unknown`.

--- a/rosemaryweir/orders/__init__.py
+++ b/rosemaryweir/orders/__init__.py
@@ -5,6 +5,7 @@
 from rosemaryweir.orders.attempts import *
 from rosemaryweir.orders.book import *
 from rosemaryweir.orders.bucket import *
+from rosemaryweir.orders.cleaning import *
 from rosemaryweir.orders.desk import *
 from rosemaryweir.orders.group import *
 from rosemaryweir.orders.index import *
--- a/rosemaryweir/orders/bucket.py
+++ b/rosemaryweir/orders/bucket.py
@@ -16,7 +16,6 @@
 from rosemaryweir.schema.generated.orders import OrderBucket, OrderRecord
 
 __all__ = [
-    'KEEP_S',
     'SEAL_BYTES',
     'Claim',
     'Merged',
@@ -35,8 +34,6 @@
 SEAL_BYTES = 65536
 #: Longest reply that is recorded, in bytes of JSON.
 REPLY_BYTES = 1024
-#: How long an outcome can be asked for again, in seconds.
-KEEP_S = 86400.0
 #: Type of the array of 64-bit hashes.
 HASH_CODE = 'Q'
 CUT_MARK = ' [cut]'
--- a/rosemaryweir/orders/desk.py
+++ b/rosemaryweir/orders/desk.py
@@ -101,6 +101,7 @@
         if denial is not None:
             yield refuse_order(event.req, denial)
             return
+        self.logs.cleaner.set_wall(now, event.wall)
         self.logs.entries = max(1, len(list(self._state.members())))
         deadline = deadline_of(event, self._state, now)
         order = Order(spec, self._attempts.record(spec, event.wall), deadline)
--- a/rosemaryweir/orders/index.py
+++ b/rosemaryweir/orders/index.py
@@ -8,7 +8,7 @@
 
 from itertools import islice
 
-from rosemaryweir.orders.bucket import kept_hashes
+from rosemaryweir.orders.bucket import kept_hashes, newest_claim
 from rosemaryweir.orders.keys import key_hash
 from rosemaryweir.schema.generated.orders import OrderBucket
 
@@ -24,11 +24,14 @@
         Whether all segments that there were have been read once.
     last : int
         Number of the segment that takes new keys.
+    sealed : dict of int to float
+        Wall time of the newest claim of each sealed segment with records.
     """
 
     def __init__(self) -> None:
         self.loaded = False
         self.last = 0
+        self.sealed: dict[int, float] = {}
         self._segments: dict[int, int] = {}
         self._learnt: dict[int, int] = {}
         self._kept: dict[int, str] = {}
@@ -57,5 +60,12 @@
             self._kept[segment] = bucket['kept']
             for known_hash in kept_hashes(bucket):
                 self._segments.setdefault(known_hash, segment)
-        if bucket['sealed'] and segment >= self.last:
-            self.last = segment + 1
+        if bucket['sealed']:
+            self.last = max(self.last, segment + 1)
+            self._note_sealed(segment, bucket)
+
+    def _note_sealed(self, segment: int, bucket: OrderBucket) -> None:
+        if bucket['records']:
+            self.sealed[segment] = newest_claim(bucket)
+        else:
+            self.sealed.pop(segment, None)
--- a/rosemaryweir/orders/logs.py
+++ b/rosemaryweir/orders/logs.py
@@ -7,6 +7,7 @@
 from rosemaryweir.node.action import Action, StorePut
 from rosemaryweir.node.event import StoreFailed, StoreReply
 from rosemaryweir.orders.bucket import Claim, Update
+from rosemaryweir.orders.cleaning import Cleaner
 from rosemaryweir.orders.group import BucketLog, Outcome
 from rosemaryweir.orders.keys import BUCKETS, bucket_of
 from rosemaryweir.orders.pace import Pace
@@ -38,6 +39,8 @@
         self._logs = [
             BucketLog(number, self._next_call, rng) for number in range(BUCKETS)
         ]
+        indexes = [log.index for log in self._logs]
+        self.cleaner = Cleaner(indexes, self._next_call, rng)
         self._log_of_call: dict[str, BucketLog] = {}
 
     def __len__(self) -> int:
@@ -68,7 +71,7 @@
         """Take an answer of the store."""
         log = self._log_of_call.pop(event.call, None)
         if log is None:
-            return Outcome()
+            return Outcome(self.cleaner.replied(event))
         outcome = log.replied(event, now)
         self._account(log, outcome.actions, now)
         return outcome
@@ -105,6 +108,9 @@
             action = log.start(now)
             self._note_call(log)
             yield action
+        cleaning = self.cleaner.start(now)
+        if cleaning is not None:
+            yield cleaning
 
     def next_wake(self) -> float | None:
         """Return when `expire` or `start_due` has work."""
@@ -118,6 +124,8 @@
             for log in self._logs
             if log.flight is None and (due := log.due()) is not None
         ]
+        if self.cleaner.next_wake is not None:
+            calls.append(self.cleaner.next_wake)
         if starts:
             calls.append(max(min(starts), self._pace.ready_at))
         return min(calls, default=None)
--- /dev/null
+++ b/rosemaryweir/orders/tests/test_growth.py
@@ -0,0 +1,97 @@
+"""Growth: segments are sealed, cleaned, and no key is ever forgotten."""
+
+from rosemaryweir.orders.bucket import (
+    SEAL_BYTES,
+    Claim,
+    Update,
+    clean,
+    decode_bucket,
+    empty_bucket,
+    encode_bucket,
+    merge,
+)
+from rosemaryweir.orders.cleaning import KEEP_S
+from rosemaryweir.orders.index import BucketIndex
+from rosemaryweir.orders.keys import bucket_of
+from rosemaryweir.orders.tests.rig import Rig
+
+VALUE_LIMIT = 1_000_000
+KEYS = [f'k{number}' for number in range(20000) if bucket_of(f'k{number}') == 3]
+
+
+def record(attempt, digest='d'):
+    return {
+        'attempt': attempt,
+        'digest': digest,
+        'claimed_at': 1.0,
+        'vm': 'vm-000',
+        'state': 'claimed',
+        'reply': '',
+    }
+
+
+def test_coding_keeps_the_value():
+    merged = merge(empty_bucket(), [Claim('k', record('a'))], [])
+    assert decode_bucket(encode_bucket(merged.bucket)) == merged.bucket
+    assert decode_bucket(b'') == empty_bucket()
+
+
+def test_a_cleaned_key_is_lost_to_every_claim():
+    merged = merge(empty_bucket(), [Claim('k', record('a'))], [])
+    cleaned = clean(merged.bucket, 5.0)
+    again = merge(cleaned, [Claim('k', record('b'))], [])
+    assert again.lost == ((Claim('k', record('b')), None),)
+    assert not again.changed
+
+
+def test_cleaning_twice_keeps_all_hashes():
+    index = BucketIndex()
+    first = clean(
+        merge(empty_bucket(), [Claim('k', record('a'))], []).bucket, 5
+    )
+    second = clean(merge(first, [Claim('m', record('b'))], []).bucket, 6)
+    index.learn(0, second)
+    assert len(index) == 2
+    assert index.last == 1
+
+
+def test_a_released_key_goes_to_the_same_content_only():
+    claimed = merge(empty_bucket(), [Claim('k', record('a'))], []).bucket
+    released = merge(claimed, [], [Update('k', 'a', 'released')]).bucket
+    other = merge(released, [Claim('k', record('b', 'other'))], [])
+    same = merge(released, [Claim('k', record('b'))], [])
+    assert other.lost
+    assert same.won
+
+
+def full_rig(count):
+    rig = Rig(vms=2)
+    for start in range(0, count, 100):
+        for order_key in KEYS[start : start + 100]:
+            rig.ask('vm-000', order_key, deadline_ms=20000)
+        rig.settle(2, 0.25)
+    return rig
+
+
+def test_segments_stay_small_and_every_key_stays_known():
+    rig = full_rig(1500)
+    assert len(rig.objects) > 3
+    largest = max(len(found.content) for found in rig.objects.values())
+    assert SEAL_BYTES / 2 < largest < VALUE_LIMIT
+    again = [rig.ask('vm-001', key) for key in KEYS[:1500:100]]
+    rig.settle(3)
+    assert {rig.said(req) for req in again} == {('done', True)}
+    assert len(rig.runs) == 1500
+
+
+def test_past_the_retention_a_key_is_expired_and_never_runs():
+    rig = full_rig(800)
+    rig.now += KEEP_S + 60
+    rig.ask('vm-000', 'new')
+    rig.settle(600, 10)
+    kept = [decode_bucket(found.content) for found in rig.objects.values()]
+    assert any(bucket['kept'] for bucket in kept)
+    again = rig.ask('vm-001', KEYS[0])
+    rig.settle(3)
+    assert rig.said(again) == ('expired', 'unknown')
+    assert rig.runs.count(KEYS[0]) == 1
