--- a/rosemaryweir/membership/prober.py
+++ b/rosemaryweir/membership/prober.py
@@ -67,6 +67,7 @@
     vm: str
     sent: float
     relayed: bool = False
+    helping: bool = False
 
 
 class Prober:
@@ -77,10 +78,15 @@
         self._probes: dict[int, Probe] = {}
         self._due = 0.0
 
-    def start(self, member: Member, now: float) -> int:
-        """Note a probe; return its sequence number."""
+    def start(self, member: Member, now: float, helping: bool = False) -> int:
+        """Note a probe; return its sequence number.
+
+        A probe that helps another VM is forgotten when it isn't answered:
+        it asks nobody else and raises no suspicion.
+        """
         self._sequence += 1
-        self._probes[self._sequence] = Probe(member['vm'], now)
+        probe = Probe(member['vm'], now, helping=helping)
+        self._probes[self._sequence] = probe
         return self._sequence
 
     def answered(self, vm: str, sequence: int) -> float | None:
@@ -119,8 +125,9 @@
             waited = now - probe.sent
             if waited >= PROBE_S:
                 self._probes.pop(number)
-                yield Missing(probe.vm, suspect=True)
-            elif waited >= DIRECT_S and not probe.relayed:
+                if not probe.helping:
+                    yield Missing(probe.vm, suspect=True)
+            elif waited >= DIRECT_S and not (probe.relayed or probe.helping):
                 self._probes[number] = probe._replace(relayed=True)
                 yield Missing(probe.vm, suspect=False)
 
--- a/rosemaryweir/membership/service.py
+++ b/rosemaryweir/membership/service.py
@@ -146,7 +146,7 @@
         member = self.control.roster.member(message['vm'])
         asker = self.control.roster.member(event.sender.partition('/')[0])
         if member is not None and asker is not None:
-            probe = self._probe(member, now)
+            probe = self._probe(member, now, helping=True)
             sequence = int(probe.message['sequence'])
             self._helping[sequence] = (
                 asker['vm'],
@@ -221,8 +221,13 @@
             if name is not None:
                 yield peers[name]
 
-    def _probe(self, member: Member, now: float) -> SendPeer:
-        sequence = self._prober.start(member, now)
+    def _probe(
+        self,
+        member: Member,
+        now: float,
+        helping: bool = False,
+    ) -> SendPeer:
+        sequence = self._prober.start(member, now, helping)
         heartbeat = Heartbeat(
             kind='heartbeat',
             sequence=sequence,
--- a/rosemaryweir/testing/cluster.py
+++ b/rosemaryweir/testing/cluster.py
@@ -61,6 +61,9 @@
 EPOCH = 1_800_000_000.0
 MS = 1000.0
 
+#: Lateness of a wake, so that rounding never makes it early, in seconds.
+ROUNDING = 1e-9
+
 
 class Cluster:
     """VMs, targets and a store in virtual time.
@@ -344,7 +347,7 @@
         wake = process.node.next_wake()
         if wake is None:
             return
-        when = max(wake - process.offset, self.now)
+        when = max(wake - process.offset + ROUNDING, self.now)
         if process.wake_at is None or when < process.wake_at:
             process.wake_at = when
             self.scheduler.at(when, self._wake, process, when)
