Relay vouches and adoptions; tests of notes, head and succession

At 90 VMs a total store outage fenced all 180 processes, because no agent hears from a majority of its failure domain within the 2.5 s that evidence counts; takeovers stayed unknown for the same reason. Acks now carry masks of who vouched (in an outage) and who adopted a view (while it is unsettled).

--- a/rosemaryweir/config/__init__.py
+++ b/rosemaryweir/config/__init__.py
@@ -8,3 +8,4 @@
 from rosemaryweir.config.note import *
 from rosemaryweir.config.note_schema import *
 from rosemaryweir.config.references import *
+from rosemaryweir.config.vouching import *
--- a/rosemaryweir/config/fence.py
+++ b/rosemaryweir/config/fence.py
@@ -66,6 +66,16 @@
         """Take it that a VM had seen nothing newer."""
         self._vouched[vm] = max(sent, self._vouched.get(vm, NEVER))
 
+    def vouch_times(self, itself: str, now: float) -> dict[str, float]:
+        """Return when each VM vouched, this one included if it may."""
+        own = {itself: now} if self.vouches else {}
+        return {**self._vouched, **own}
+
+    def relay_vouches(self, ages: Mapping[str, float], sent: float) -> None:
+        """Take the ages, in seconds, of the vouches that a peer had."""
+        for vm, age in ages.items():
+            self.vouched(vm, sent - age)
+
     def relay_quorums(self, ages: Mapping[str, float], sent: float) -> None:
         """Take the ages of the majorities that a peer knows of."""
         for domain, age in ages.items():
@@ -81,10 +91,7 @@
         now: float,
     ) -> None:
         """Work out the majority of the VM's own failure domain."""
-        times = dict(self._vouched)
-        if self.vouches:
-            times[itself] = now
-        since = majority_time(members, times)
+        since = majority_time(members, self.vouch_times(itself, now))
         if since > NEVER:
             known = self._quorums.get(domain, NEVER)
             self._quorums[domain] = max(since, known)
--- /dev/null
+++ b/rosemaryweir/config/tests/test_head.py
@@ -0,0 +1,213 @@
+"""The head under store faults at every step and racing operators."""
+
+import itertools
+
+import hypothesis.strategies as st
+import msgspec
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from rosemaryweir.config.content import decode_config, join_chunks
+from rosemaryweir.config.head import HEAD_KEY, NoteWriter, decode_head
+from rosemaryweir.node.action import StoreGet
+from rosemaryweir.node.event import StoreFailed, StoreObject, StoreReply
+from rosemaryweir.node.state import empty_config
+
+ABSENT = StoreObject('', 0, b'')
+FATES = st.sampled_from(
+    ['answered', 'answered', 'reply lost', 'write lost', 'late', 'refused'],
+)
+
+
+class Store:
+    """Objects, and the history of the head."""
+
+    def __init__(self):
+        self.objects = {}
+        self.versions = itertools.count(1)
+        self.heads = []
+        self.late = []
+
+    def run(self, action):
+        found = self.objects.get(action.key, ABSENT)
+        if isinstance(action, StoreGet):
+            objects = (found,) if found.version else ()
+            status = 'ok' if objects else 'missing'
+            return StoreReply(action.call, status, objects)
+        if found.version != action.expected:
+            return StoreReply(action.call, 'conflict', (found,))
+        new = StoreObject(action.key, next(self.versions), action.content)
+        self.objects[action.key] = new
+        if action.key == HEAD_KEY:
+            self.heads.append(decode_head(new))
+        return StoreReply(action.call, 'ok', (new,))
+
+    def config(self):
+        if not self.heads:
+            return empty_config()
+        head = self.heads[-1]
+        chunks = [self.objects[key].content for key in head['chunks']]
+        return decode_config(join_chunks(chunks, head['digest']))
+
+
+class HeadMachine(RuleBasedStateMachine):
+    """Writers at several agents, each with at most one call under way."""
+
+    def __init__(self):
+        super().__init__()
+        self.store = Store()
+        self.now = 0.0
+        self.numbers = itertools.count()
+        self.writers = []
+        self.calls = {}
+
+    @rule(again=st.booleans(), current=st.booleans())
+    def submit(self, again, current):
+        """An operator sends a note, or sends an earlier one again."""
+        if again and self.writers:
+            note = self.writers[-1].note
+        else:
+            number = next(self.numbers)
+            generation = len(self.store.heads)
+            note = {
+                'note': f'n-{number}',
+                'format': 1,
+                'base': generation if current else max(0, generation - 1),
+                'added': {'tenants': {f't-{number}': {'weight': 1}}},
+            }
+        writer = NoteWriter(note, f'note:{len(self.writers)}', self.now)
+        self.writers.append(writer)
+        self.take(writer, writer.begin())
+
+    @rule(number=st.integers(0, 20), fate=FATES)
+    def settle_call(self, number, fate):
+        """One call ends, well or badly."""
+        if not self.calls:
+            return
+        writer = sorted(self.calls, key=self.writers.index)[
+            number % len(self.calls)
+        ]
+        action = self.calls.pop(writer)
+        if fate == 'answered':
+            reply = self.store.run(action)
+            self.take(writer, writer.take_reply(reply, self.store.config()))
+            return
+        if fate == 'reply lost':
+            self.store.run(action)
+        if fate == 'late':
+            self.store.late.append(action)
+        reason = 'unavailable' if fate == 'refused' else 'unknown'
+        assert writer.take_failure(StoreFailed(action.call, reason), self.now)
+
+    @rule()
+    def land_late_write(self):
+        """A write that seemed lost takes effect long after."""
+        if self.store.late:
+            self.store.run(self.store.late.pop(0))
+
+    @rule(seconds=st.sampled_from([0.1, 1.0, 10.0]))
+    def pass_time(self, seconds):
+        self.now += seconds
+        for writer in self.writers:
+            self.take(writer, writer.wake(self.now))
+            if writer.step == 'syncing':
+                writer.resume(self.store.config())
+            if writer.step == 'announcing' and writer not in self.calls:
+                self.take(writer, writer.write())
+
+    def take(self, writer, actions):
+        for action in actions:
+            assert writer not in self.calls
+            self.calls[writer] = action
+
+    @invariant()
+    def generations_form_a_chain(self):
+        generations = [head['generation'] for head in self.store.heads]
+        assert generations == list(range(1, len(generations) + 1))
+
+    @invariant()
+    def no_note_is_applied_twice(self):
+        notes = [head['note'] for head in self.store.heads]
+        assert len(set(notes)) == len(notes)
+
+    @invariant()
+    def what_was_said_is_true(self):
+        made = {head['note']: head['generation'] for head in self.store.heads}
+        for writer in self.writers:
+            outcome = writer.outcome
+            if outcome is None:
+                continue
+            name = writer.note['note']
+            if outcome.state in {'accepted', 'already'}:
+                assert made[name] == outcome.generation
+            if outcome.state == 'store_down':
+                others = [
+                    other
+                    for other in self.writers
+                    if other.note is writer.note and other is not writer
+                ]
+                assert name not in made or others
+
+    @invariant()
+    def accepted_notes_are_in_force(self):
+        accepted = {head['note'] for head in self.store.heads}
+        tenants = self.store.config()['tenants']
+        assert set(tenants) == {f't-{name[2:]}' for name in accepted}
+
+
+HeadMachine.TestCase.settings = settings(
+    derandomize=True,
+    max_examples=150,
+    stateful_step_count=40,
+    deadline=None,
+)
+test_head_machine = HeadMachine.TestCase
+
+
+def run_through(writer, store, actions):
+    for action in actions:
+        reply = store.run(action)
+        more = writer.take_reply(reply, store.config())
+        run_through(writer, store, more)
+
+
+def submit(store, name, base):
+    note = {'note': name, 'format': 1, 'base': base}
+    note['added'] = {'tenants': {f't-{name[2:]}': {'weight': 1}}}
+    writer = NoteWriter(note, 'note:1', 0.0)
+    run_through(writer, store, writer.begin())
+    if writer.step == 'announcing':
+        run_through(writer, store, writer.write())
+    return writer.outcome
+
+
+def test_note_sent_again_is_not_applied_again():
+    store = Store()
+    assert submit(store, 'n-1', 0).state == 'accepted'
+    assert submit(store, 'n-1', 0) == ('already', 1, '', (), ())
+    assert len(store.heads) == 1
+
+
+def test_loser_is_told_what_changed():
+    store = Store()
+    submit(store, 'n-1', 0)
+    outcome = submit(store, 'n-2', 0)
+    assert outcome.state == 'conflict'
+    assert 'n-1 made generation 1 (tenants.t-1)' in outcome.detail
+
+
+def test_content_is_cut_into_values_that_the_store_holds():
+    store = Store()
+    note = {'note': 'n-1', 'format': 1, 'base': 0}
+    note['added'] = {
+        'tenants': {f't-{number}': {'weight': 1} for number in range(60_000)},
+    }
+    writer = NoteWriter(note, 'note:1', 0.0)
+    run_through(writer, store, writer.begin())
+    run_through(writer, store, writer.write())
+    assert writer.outcome.state == 'accepted'
+    sizes = [len(obj.content) for obj in store.objects.values()]
+    assert len(sizes) > 2
+    assert max(sizes) <= 1_000_000
+    assert len(msgspec.json.encode(store.heads[-1])) < 10_000
+    assert len(store.config()['tenants']) == 60_000
--- a/rosemaryweir/membership/service.py
+++ b/rosemaryweir/membership/service.py
@@ -4,6 +4,13 @@
 from random import Random
 from typing import Any
 
+from rosemaryweir.config.fence import HEAD
+from rosemaryweir.config.vouching import (
+    mask_of,
+    members_of,
+    vouch_ages,
+    vouch_masks,
+)
 from rosemaryweir.membership import grants, view_service
 from rosemaryweir.membership.control import control_of
 from rosemaryweir.membership.directory_choice import Heard
@@ -62,6 +69,9 @@
 #: How long news of a VM are remembered, in seconds.
 HEARD_KEPT_S = 60.0
 
+#: Age of the evidence from the store that makes vouches worth relaying.
+OUTAGE_S = 1.0
+
 #: States that a VM refutes when it learns of them.
 ACCUSED = ('suspect', 'dead')
 
@@ -122,6 +132,11 @@
             vouches=control.fence.vouches,
             settled=control.succession.settled(now),
         )
+        near = known['member']['domain'] == control.domain
+        if near and control.fence.age(HEAD, now) > OUTAGE_S:
+            ack['vouched'] = self._vouch_masks(now)
+        if known['versions'] == self.state.view_versions():
+            ack['adopted'] = self._adopted_masks()
         yield self._send(known['member'], ack, now)
 
     @handles(PeerMessage, 'ack')
@@ -282,6 +297,33 @@
         if ack['vouches']:
             control.fence.vouched(vm, sent)
         tuple(control.succession.told_settled(ack['settled'], now))
+        if ack['known']['versions'] != self.state.view_versions():
+            return
+        names = sorted(member['vm'] for member in self.state.members())
+        for domain, mask in ack.get('adopted', {}).items():
+            control.succession.told_adopted(domain, members_of(names, mask))
+        own = control.domain
+        if own in self.state.views:
+            ages = vouch_ages(self._names(own), ack.get('vouched', ()))
+            control.fence.relay_vouches(ages, sent)
+
+    def _vouch_masks(self, now: float) -> list[str]:
+        own = self.control.domain
+        if own not in self.state.views:
+            return []
+        times = self.control.fence.vouch_times(self.state.uid.vm, now)
+        return vouch_masks(self._names(own), times, now)
+
+    def _adopted_masks(self) -> dict[str, str]:
+        adopters = self.control.succession.adopters()
+        if not adopters:
+            return {}
+        names = sorted(member['vm'] for member in self.state.members())
+        return {domain: mask_of(names, vms) for domain, vms in adopters.items()}
+
+    def _names(self, domain: str) -> list[str]:
+        members = self.state.views[domain]['members']
+        return sorted(member['vm'] for member in members)
 
     def _lacks(self, versions: Mapping[str, int]) -> bool:
         own = self.state.views
--- a/rosemaryweir/membership/succession.py
+++ b/rosemaryweir/membership/succession.py
@@ -7,7 +7,7 @@
 lapses `FRESH_S` later, plus the allowance for clock drift.
 """
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from typing import NamedTuple
 
 from rosemaryweir.membership.quorum import has_quorum
@@ -127,6 +127,28 @@
             if change.takeover is not None and change.takeover <= now
         }
 
+    def adopters(self) -> dict[str, set[str]]:
+        """Return who has adopted each view that awaits a quorum."""
+        return {
+            domain: self._adopters(domain, change.version)
+            for domain, change in self._changes.items()
+            if change.takeover is None
+        }
+
+    def told_adopted(self, domain: str, vms: Iterable[str]) -> None:
+        """Take it that VMs have adopted the view in use here."""
+        change = self._changes.get(domain)
+        if change is not None:
+            for vm in vms:
+                self.heard(vm, {domain: change.version})
+
+    def _adopters(self, domain: str, version: int) -> set[str]:
+        return {
+            vm
+            for vm, adopted in self._adopted.items()
+            if adopted.get(domain, 0) >= version
+        }
+
     def _close(self, now: float) -> None:
         for domain, change in self._changes.items():
             passed = change.takeover is not None and change.takeover <= now
@@ -134,11 +156,7 @@
                 self._changes[domain] = change._replace(former=())
 
     def _has_quorum(self, domain: str, change: Change) -> bool:
-        having = self._gone | {
-            vm
-            for vm, adopted in self._adopted.items()
-            if adopted.get(domain, 0) >= change.version
-        }
+        having = self._gone | self._adopters(domain, change.version)
         versions: dict[str, list[Names]] = {
             other: [
                 *(each.members for each in found.former),
--- /dev/null
+++ b/rosemaryweir/membership/tests/test_lease_machine.py
@@ -0,0 +1,189 @@
+"""Old and new owner are never both valid, whatever fails."""
+
+import hypothesis.strategies as st
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from rosemaryweir.membership.tests.holders import KEYS, Holders
+from rosemaryweir.testing.cluster import Cluster
+from rosemaryweir.testing.deployment import HALVORSEN, config_of, vm_settings
+
+VMS = 9
+PLACES = st.integers(0, VMS - 1)
+
+
+class LeaseMachine(RuleBasedStateMachine):
+    """Pauses, partitions, store cuts, losses and restarts of VMs."""
+
+    @initialize(seed=st.integers(0, 1000))
+    def start(self, seed):
+        self.settings = vm_settings(HALVORSEN, VMS)
+        self.cluster = Cluster(self.settings, config_of(HALVORSEN), seed)
+        self.holders = Holders(self.cluster)
+        self.paused = []
+        self.holders.run(4, step=0.5)
+
+    @rule(place=PLACES, whole=st.booleans())
+    def pause(self, place, whole):
+        vm = self.settings[place]['vm']
+        roles = ('entry', 'leaf', 'agent') if whole else ('leaf',)
+        names = [f'{vm}/{role}' for role in roles]
+        self.cluster.pause(*names)
+        self.paused.extend(names)
+        self.holders.run(1)
+
+    @rule()
+    def resume(self):
+        self.cluster.resume(*self.paused)
+        self.paused = []
+        self.holders.run(0.5, step=0.01)
+
+    @rule(one=PLACES, other=PLACES)
+    def cut_vms(self, one, other):
+        pair = {self.settings[one]['vm'], self.settings[other]['vm']}
+        self.cluster.cuts.add(frozenset(pair))
+        self.holders.run(1)
+
+    @rule(one=st.integers(0, 2), other=st.integers(0, 2))
+    def cut_domains(self, one, other):
+        pair = {HALVORSEN.domains[one], HALVORSEN.domains[other]}
+        self.cluster.cuts.add(frozenset(pair))
+        self.holders.run(2)
+
+    @rule()
+    def heal(self):
+        self.cluster.cuts.clear()
+        self.cluster.store.cut.clear()
+        self.holders.run(1)
+
+    @rule(places=st.sets(PLACES, max_size=6))
+    def cut_from_store(self, places):
+        vms = {self.settings[place]['vm'] for place in places}
+        self.cluster.store.cut = vms
+        self.holders.run(1)
+
+    @rule(down=st.booleans())
+    def store_outage(self, down):
+        self.cluster.store.set_down(down)
+        self.holders.run(1)
+
+    @rule(place=PLACES)
+    def restart(self, place):
+        vm = self.settings[place]['vm']
+        self.cluster.kill_vm(vm)
+        self.holders.run(1)
+        self.cluster.start_vm(self.settings[place])
+        self.holders.run(0.5)
+
+    @rule(place=PLACES)
+    def lose(self, place):
+        self.cluster.kill_vm(self.settings[place]['vm'])
+        self.holders.run(2)
+
+    @rule(seconds=st.sampled_from([1, 3, 6]))
+    def wait(self, seconds):
+        self.holders.run(seconds)
+
+
+LeaseMachine.TestCase.settings = settings(
+    derandomize=True,
+    max_examples=12,
+    stateful_step_count=12,
+    deadline=None,
+)
+test_lease_machine = LeaseMachine.TestCase
+
+
+def started(seed=1):
+    cluster = Cluster(
+        vm_settings(HALVORSEN, VMS),
+        config_of(HALVORSEN),
+        seed,
+    )
+    holders = Holders(cluster)
+    holders.run(5, step=0.5)
+    return cluster, holders
+
+
+def test_every_target_has_an_owner_and_gets_a_new_one():
+    cluster, holders = started()
+    assert len(holders.holders()) == len(KEYS) * 3
+    cluster.kill_vm('vm-003')
+    holders.run(8)
+    assert len(holders.holders()) == len(KEYS) * 3
+
+
+def test_store_outage_stops_nobody():
+    cluster, holders = started()
+    before = holders.holders()
+    cluster.store.set_down(True)
+    holders.run(20, step=0.2)
+    assert holders.holders() == before
+
+
+def test_loss_in_an_outage_moves_nothing_until_the_store_is_back():
+    cluster, holders = started()
+    cluster.store.set_down(True)
+    holders.run(3)
+    before = holders.holders()
+    cluster.kill_vm('vm-003')
+    holders.run(10, step=0.2)
+    during = holders.holders()
+    assert all(before[place] == vms for place, vms in during.items())
+    cluster.store.set_down(False)
+    holders.run(10, step=0.2)
+    assert len(holders.holders()) == len(KEYS) * 3
+
+
+def test_lost_domain_is_taken_over_by_delegates():
+    cluster, holders = started()
+    for vm in ('vm-000', 'vm-003', 'vm-006'):
+        cluster.kill_vm(vm)
+    holders.run(16, step=0.2)
+    assert len(holders.holders()) == len(KEYS) * 3
+
+
+def test_most_of_the_fleet_is_replaced_at_once():
+    cluster, holders = started()
+    lost = [f'vm-{number:03}' for number in range(6)]
+    for vm in lost:
+        cluster.kill_vm(vm)
+    cluster.store.live = tuple(set(cluster.store.live) - set(lost))
+    fresh = vm_settings(HALVORSEN, VMS + 6)[VMS:]
+    for each in fresh:
+        cluster.start_vm(each)
+    cluster.store.live += tuple(each['vm'] for each in fresh)
+    holders.run(40, step=0.2)
+    assert len(holders.holders()) == len(KEYS) * 3
+
+
+def test_vm_cut_off_from_everybody_is_fenced():
+    cluster, holders = started()
+    cluster.store.cut = {'vm-004'}
+    for vm in cluster.settings:
+        cluster.cuts.add(frozenset({'vm-004', vm}))
+    holders.run(4)
+    leaf = cluster.processes['vm-004/leaf']
+    assert leaf.node.state.lease.reason == 'fenced'
+    assert not leaf.node.state.may_start(cluster.now + leaf.offset)
+
+
+def test_vm_that_starts_alone_in_an_outage_serves_nothing():
+    each = vm_settings(HALVORSEN, 1)[0]
+    cluster = Cluster([each], config_of(HALVORSEN))
+    cluster.store.set_down(True)
+    cluster.run(10)
+    entry = cluster.processes['vm-000/entry'].node
+    assert not entry.state.lease.until
+
+
+def test_vm_that_restarts_in_an_outage_is_brought_up_by_its_peers():
+    cluster, holders = started()
+    cluster.store.set_down(True)
+    holders.run(3)
+    cluster.kill_vm('vm-005')
+    holders.run(1)
+    cluster.start_vm(cluster.settings['vm-005'])
+    holders.run(10, step=0.2)
+    leaf = cluster.processes['vm-005/leaf']
+    assert leaf.node.state.may_start(cluster.now + leaf.offset)
