--- a/rosemaryweir/cli/demo.py
+++ b/rosemaryweir/cli/demo.py
@@ -167,12 +167,12 @@
         )
 
     def _tier_lines(self) -> Iterator[str]:
-        yield 'latency inside the tier, in ms:'
+        yield 'inside the tier, latency in ms:'
         for settings in self.settings:
             address = settings['addresses']['entry_http']
             answer = call(address, 'GET', '/v1/status').value_or(None)
             if answer is not None:
-                yield f'  {settings["vm"]}'
+                yield f'  {settings["vm"]}: {_extra_load(answer.body)}'
                 yield from (
                     f'    {line}'
                     for line in latency_lines(answer.body['latency_ms'])
@@ -200,6 +200,13 @@
     yield from (f'  {line}' for line in latency_lines(summary['latency_ms']))
 
 
+def _extra_load(status: Mapping[str, Any]) -> str:
+    queries = status['parts']['QueryService']
+    first, extra = queries['first'], queries['extra']
+    share = extra / first if first else 0
+    return f'{first} attempts needed, {extra} extra ({share:.2%})'
+
+
 def _order_outcome(answer: Answer | CallFailed) -> str:
     if isinstance(answer, CallFailed):
         return answer.reason
--- a/rosemaryweir/membership/agent_client.py
+++ b/rosemaryweir/membership/agent_client.py
@@ -28,6 +28,13 @@
     'info',
     'A newer configuration is in force in this process.',
 )
+CONFIG_UNREADABLE = register_event(
+    602,
+    'client.config_unreadable',
+    'error',
+    'The agent sent a configuration that this process can not read; what is '
+    'in force stays. Look for processes of different releases on the VM.',
+)
 LEASE_CHANGED = register_event(
     601,
     'client.lease_changed',
@@ -105,7 +112,11 @@
         known = self.state.config['generation']
         if message['generation'] <= known or not self._is_agent(event):
             return
-        config = msgspec.json.decode(message['content'], type=Config)
+        try:
+            config = msgspec.json.decode(message['content'], type=Config)
+        except msgspec.MsgspecError as exc:
+            yield LogEvent(CONFIG_UNREADABLE, {'error': str(exc)})
+            return
         self.state.take_config(config)
         yield LogEvent(CONFIG_TAKEN, {'generation': config['generation']})
         yield from self._renew()
