--- /dev/null
+++ b/benchmarks/capacity.py
@@ -0,0 +1,238 @@
+"""State and control work at the design size, from slopes measured here.
+
+Each figure is measured at two sizes; the slope between them is carried on to
+the design size.  Memory is what ``tracemalloc`` sees of the real state: the
+decoded configuration, the views, the parts of an entry and of a leaf.
+"""
+
+import gc
+import time
+import tracemalloc
+from collections.abc import Callable
+from random import Random
+from typing import Any, NamedTuple
+
+import msgspec
+
+from benchmarks.report import Check, Report, at_most, benchmark
+from rosemaryweir.compose import Node
+from rosemaryweir.config.content import (
+    decode_config,
+    digest_of,
+    encode_config,
+)
+from rosemaryweir.node.event import Wake
+from rosemaryweir.node.state import Lease
+from rosemaryweir.schema.generated.config import Config
+from rosemaryweir.testing.deployment import (
+    DEPLOYMENTS,
+    Deployment,
+    ServiceSize,
+    config_of,
+    vm_settings,
+)
+from rosemaryweir.testing.process import static_view
+
+__all__ = ['run']
+
+NODES = 8800
+SERVERS = 83_000
+DOMAINS = 11
+CHANGES_PER_DAY = 7000
+SECONDS_PER_DAY = 86_400
+CONTROL_BYTES_PER_S = 9000.0
+CONTROL_MB = 256.0
+CONTROL_CORE = 0.021
+SHARDS_PER_SERVICE = 120
+REPLICAS = 3
+MB = 1_000_000
+REPEATS = 3
+
+
+class Slope(NamedTuple):
+    """A cost that grows with a count: ``fixed + each * count``."""
+
+    fixed: float
+    each: float
+
+    def at(self, count: float) -> float:
+        """Return the cost at a count."""
+        return self.fixed + self.each * count
+
+
+def _slope(low: int, high: int, cost: Callable[[int], float]) -> Slope:
+    small, large = cost(low), cost(high)
+    each = (large - small) / (high - low)
+    return Slope(max(small - each * low, 0.0), each)
+
+
+def _deployment(targets: int) -> Deployment:
+    size = SHARDS_PER_SERVICE * REPLICAS
+    services = tuple(
+        ServiceSize(
+            f'archive-{index:03d}',
+            'query',
+            SHARDS_PER_SERVICE,
+            REPLICAS,
+            3,
+            30,
+            6.0,
+        )
+        for index in range(max(targets // size, 1))
+    )
+    domains = tuple(f'domain-{index:02d}' for index in range(DOMAINS))
+    return DEPLOYMENTS['halvorsen']._replace(
+        services=services,
+        domains=domains,
+    )
+
+
+def _config(targets: int) -> Config:
+    return config_of(_deployment(targets))
+
+
+def _memory(build: Callable[[], Any]) -> float:
+    """Return the bytes that a built object holds."""
+    gc.collect()
+    tracemalloc.start()
+    kept = build()
+    gc.collect()
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return float(held)
+
+
+def _seconds(work: Callable[[], Any]) -> float:
+    times = []
+    for _ in range(REPEATS):
+        began = time.process_time()
+        work()
+        times.append(time.process_time() - began)
+    return min(times)
+
+
+def _members(count: int) -> list[Any]:
+    deployment = _deployment(1)
+    settings = vm_settings(deployment, count)
+    return [static_view(name, settings) for name in deployment.domains]
+
+
+def _decoded_members(count: int) -> float:
+    encoded = msgspec.json.encode(_members(count))
+    return _memory(lambda: msgspec.json.decode(encoded))
+
+
+def _node(role: str, targets: int) -> float:
+    """Return the bytes of a node's parts beside its configuration.
+
+    The node belongs to the only VM of its failure domain, so that a leaf owns
+    an eleventh of the targets.
+    """
+    config = _config(targets)
+    settings = vm_settings(_deployment(targets), DOMAINS)
+    views = [static_view(name, settings) for name in config['domains']]
+
+    def build() -> Node:
+        node = Node.from_config(settings[0], role, 1, Random(1))
+        node.state.take_config(config)
+        node.state.lease = Lease(float('inf'), '')
+        for view in views:
+            node.state.take_view(view)
+        node.handle(Wake(), 10.0)
+        return node
+
+    return _memory(build)
+
+
+def _costs(low: int, high: int) -> dict[str, Slope]:
+    encoded = {size: encode_config(_config(size)) for size in (low, high)}
+    return {
+        'config_bytes_per_target': _slope(
+            low, high, lambda size: float(len(encoded[size]))
+        ),
+        'config_memory_per_target': _slope(
+            low,
+            high,
+            lambda size: _memory(lambda: decode_config(encoded[size])),
+        ),
+        'config_decode_s_per_target': _slope(
+            low,
+            high,
+            lambda size: _seconds(lambda: decode_config(encoded[size])),
+        ),
+        'config_digest_s_per_target': _slope(
+            low,
+            high,
+            lambda size: _seconds(
+                lambda: digest_of(encode_config(decode_config(encoded[size]))),
+            ),
+        ),
+        'view_bytes_per_member': _slope(
+            100,
+            1000,
+            lambda count: float(len(msgspec.json.encode(_members(count)))),
+        ),
+        'view_memory_per_member': _slope(100, 1000, _decoded_members),
+        'entry_memory_per_target': _slope(
+            low, high, lambda size: _node('entry', size)
+        ),
+        'leaf_memory_per_owned_target': _slope(
+            low // DOMAINS,
+            high // DOMAINS,
+            lambda owned: _node('leaf', owned * DOMAINS),
+        ),
+    }
+
+
+def _at_design_size(costs: dict[str, Slope]) -> dict[str, float]:
+    changes_per_s = CHANGES_PER_DAY / SECONDS_PER_DAY
+    config_memory = costs['config_memory_per_target'].at(SERVERS)
+    view_memory = costs['view_memory_per_member'].at(NODES)
+    config_bytes = costs['config_bytes_per_target'].at(SERVERS)
+    apply_s = costs['config_digest_s_per_target'].at(SERVERS)
+    owned = SERVERS / NODES
+    return {
+        'config_mb': config_bytes / MB,
+        'config_memory_mb': config_memory / MB,
+        'view_memory_mb': view_memory / MB,
+        'entry_parts_mb': costs['entry_memory_per_target'].at(SERVERS) / MB,
+        'leaf_parts_mb': costs['leaf_memory_per_owned_target'].at(owned) / MB,
+        'control_memory_mb': (config_memory + view_memory) / MB,
+        'whole_config_bytes_per_s': config_bytes * changes_per_s,
+        'apply_core': apply_s * changes_per_s,
+    }
+
+
+def _checks(design: dict[str, float]) -> tuple[Check, ...]:
+    return (
+        at_most(
+            'control memory in MB, extrapolated',
+            design['control_memory_mb'],
+            CONTROL_MB,
+        ),
+        at_most(
+            'bytes a second of whole configurations, extrapolated',
+            design['whole_config_bytes_per_s'],
+            CONTROL_BYTES_PER_S,
+        ),
+        at_most(
+            'share of a core to apply changes, extrapolated',
+            design['apply_core'],
+            CONTROL_CORE,
+        ),
+    )
+
+
+@benchmark('capacity')
+def run(seed: int, quick: bool) -> Report:
+    """Measure the slopes of state and carry them to the design size."""
+    low, high = (720, 3600) if quick else (3600, 18_000)
+    costs = _costs(low, high)
+    design = _at_design_size(costs)
+    figures: dict[str, Any] = {
+        'measured_at': [low, high],
+        **{name: slope.each for name, slope in costs.items()},
+        'at_design_size': design,
+    }
+    return Report('capacity', seed, figures, {}, _checks(design))
