--- a/rosemaryweir/daemons/load.py
+++ b/rosemaryweir/daemons/load.py
@@ -8,15 +8,22 @@
 import asyncio
 import json
 import sys
-from collections.abc import Iterator, Mapping
-from itertools import count
+from collections.abc import Mapping
 from random import Random
-from typing import Any, NamedTuple
+from typing import Any
 
 import fire
 
 from rosemaryweir.daemons.clock import MS_PER_SECOND, SystemClock
 from rosemaryweir.daemons.load_caller import Caller, CallerAnswer
+from rosemaryweir.daemons.load_plan import (
+    QUERY,
+    STRAIGHT,
+    LoadPlan,
+    Schedule,
+    Shot,
+)
+from rosemaryweir.daemons.load_straight import Straight
 from rosemaryweir.daemons.load_tally import LoadSummary, LoadTally
 from rosemaryweir.transport.fetch import HttpPool
 
@@ -27,53 +34,6 @@
 DEFAULT_CLASS = 'default'
 
 
-class LoadPlan(NamedTuple):
-    """What a run sends.
-
-    Parameters
-    ----------
-    entries : tuple of str
-        Addresses to ask for the directory.
-    services, order_services : tuple of str
-        Services that get queries and orders.
-    rate, order_rate : float
-        Queries and orders a second.
-    seconds : float
-        Length of the run.
-    deadline_ms : int
-        Deadline of each request.
-    classes : tuple of str
-        Classes that queries are spread over; empty for the default.
-    tenant, domain : str
-        Caller's tenant and failure domain; empty when not named.
-    callers : int
-        Number of callers, each with its own copy of the directory.
-    seed : int
-        Seed of chance.
-    """
-
-    entries: tuple[str, ...]
-    services: tuple[str, ...]
-    order_services: tuple[str, ...] = ()
-    rate: float = 50.0
-    order_rate: float = 5.0
-    seconds: float = 10.0
-    deadline_ms: int = 1000
-    classes: tuple[str, ...] = ()
-    tenant: str = ''
-    domain: str = ''
-    callers: int = 20
-    seed: int = 1
-
-
-class _Shot(NamedTuple):
-    """One request of the load."""
-
-    at: float
-    path: str
-    body: dict[str, Any]
-
-
 class Load:
     """One run.
 
@@ -87,9 +47,16 @@
 
     def __init__(self, plan: LoadPlan, run: str) -> None:
         self._plan = plan
-        self._run = run
         self._rng = Random(plan.seed)
+        self._schedule = Schedule(plan, run, self._rng)
         self._pool = HttpPool()
+        self._straight: Straight | None = None
+        if plan.straight:
+            self._straight = Straight.from_file(
+                plan.straight,
+                self._pool,
+                self._rng,
+            )
         self.tally = LoadTally()
         self._callers = [
             Caller(plan.entries, self._pool, self._rng, plan.domain)
@@ -101,7 +68,8 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         tasks = []
-        for shot in self._shots():
+        for shot in self._schedule.shots():
+            self.tally.sent(shot.path)
             wait = max(began + shot.at - loop.time(), 0)
             # One shot after the other, each at its time.
             await asyncio.sleep(wait)  # noqa: WPS476
@@ -110,53 +78,11 @@
         self._pool.close()
         return self.tally.summary(loop.time() - began)
 
-    def _shots(self) -> Iterator[_Shot]:
-        plan = self._plan
-        shots = list(self._queries(plan.rate)) if plan.services else []
-        if plan.order_services:
-            shots.extend(self._orders(plan.order_rate))
-        return iter(sorted(shots, key=_start))
-
-    def _queries(self, rate: float) -> Iterator[_Shot]:
-        classes = self._plan.classes or ('',)
-        for number, at in enumerate(self._times(rate)):
-            self.tally.queries += 1
-            body = {
-                'service': self._rng.choice(self._plan.services),
-                'query': f'{self._run}-q{number}',
-                'class': self._rng.choice(classes),
-            }
-            yield _Shot(at, '/v1/query', self._with_context(body))
-
-    def _orders(self, rate: float) -> Iterator[_Shot]:
-        for number, at in enumerate(self._times(rate)):
-            self.tally.orders += 1
-            body = {
-                'service': self._rng.choice(self._plan.order_services),
-                'order_key': f'{self._run}-o{number}',
-                'body': f'order {number}',
-            }
-            yield _Shot(at, '/v1/order', self._with_context(body))
-
-    def _times(self, rate: float) -> Iterator[float]:
-        at = 0.0
-        for _ in count():
-            at += self._rng.expovariate(rate)
-            if at >= self._plan.seconds:
-                return
-            yield at
-
-    def _with_context(self, body: dict[str, Any]) -> dict[str, Any]:
-        context = {
-            'deadline_ms': self._plan.deadline_ms,
-            'tenant': self._plan.tenant,
-            'domain': self._plan.domain,
-        }
-        whole = {**context, **body}
-        return {key: content for key, content in whole.items() if content}
-
-    async def _fire(self, shot: _Shot) -> None:
+    async def _fire(self, shot: Shot) -> None:
         loop = asyncio.get_running_loop()
+        if shot.path == STRAIGHT:
+            await self._fire_straight(shot)
+            return
         caller = self._rng.choice(self._callers)
         began = loop.time()
         seconds = self._plan.deadline_ms / MS_PER_SECOND
@@ -167,13 +93,36 @@
             return
         self._count(shot, answer, loop.time() - began)
 
-    def _count(self, shot: _Shot, answer: CallerAnswer, took: float) -> None:
+    async def _fire_straight(self, shot: Shot) -> None:
+        assert self._straight is not None  # noqa: S101
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        seconds = self._plan.deadline_ms / MS_PER_SECOND
+        service = shot.body['service']
+        try:
+            whole = await self._straight.ask(
+                service,
+                shot.body['query'],
+                seconds,
+            )
+        except (OSError, ValueError):
+            whole = False
+        outcome = 'complete' if whole else 'not_complete'
+        took = loop.time() - began
+        self.tally.answered(
+            STRAIGHT,
+            DEFAULT_CLASS,
+            took,
+            {'outcome': outcome},
+        )
+
+    def _count(self, shot: Shot, answer: CallerAnswer, took: float) -> None:
         self.tally.retried += answer.tries - 1
         if answer.status != HTTP_OK:
             self.tally.refused(answer.body)
             return
         class_ = shot.body.get('class', DEFAULT_CLASS)
-        if shot.path == '/v1/query':
+        if shot.path == QUERY:
             self.tally.answered('query', class_, took, answer.body)
             self.tally.covered(shot.body['query'], answer.body)
         else:
@@ -193,6 +142,7 @@
     domain: str = '',
     callers: int = 20,
     seed: int = 1,
+    straight: str = '',
     check: bool = False,
 ) -> None:
     """Send queries and orders at a steady rate and print a JSON summary.
@@ -219,6 +169,9 @@
         Callers, each with its own copy of the directory's answer.
     seed : int
         Seed of chance.
+    straight : str
+        Configuration file of the stand-in targets: as many queries again go
+        straight to them, as a baseline.
     check : bool
         Only print what would be sent.
     """
@@ -235,6 +188,7 @@
         domain=domain,
         callers=callers,
         seed=seed,
+        straight=straight,
     )
     if check:
         _print(plan._asdict())
@@ -254,10 +208,6 @@
     return await Load(plan, run).run()
 
 
-def _start(shot: _Shot) -> float:
-    return shot.at
-
-
 def _listed(text: Any) -> tuple[str, ...]:
     # The command line turns "a,b" into a tuple by itself.
     if isinstance(text, tuple | list):
--- /dev/null
+++ b/rosemaryweir/daemons/load_straight.py
@@ -0,0 +1,92 @@
+"""The baseline of a load run: the same questions straight to the targets.
+
+A caller that knew every target and asked one replica of each shard itself
+would wait this long; what the tier takes beyond it is its own.
+"""
+
+import asyncio
+import json
+import pathlib
+from collections.abc import Iterator
+from itertools import count
+from random import Random
+from typing import Any
+
+from rosemaryweir.daemons.clock import MS_PER_SECOND
+from rosemaryweir.transport.exchange import encode_json
+from rosemaryweir.transport.fetch import HttpPool
+
+__all__ = ['Straight']
+
+
+class Straight:
+    """Asks targets without the tier.
+
+    Parameters
+    ----------
+    config : dict
+        A configuration, as the stand-in of targets takes it.
+    pool : HttpPool
+        Connections.
+    rng : random.Random
+        The source of chance.
+    """
+
+    def __init__(
+        self,
+        config: dict[str, Any],
+        pool: HttpPool,
+        rng: Random,
+    ) -> None:
+        self._config = config
+        self._pool = pool
+        self._rng = rng
+        self._numbers = count(1)
+
+    @classmethod
+    def from_file(cls, path: str, pool: HttpPool, rng: Random) -> 'Straight':
+        """Return the baseline for the targets of a configuration file."""
+        return cls(json.loads(pathlib.Path(path).read_text()), pool, rng)
+
+    async def ask(self, service: str, text: str, seconds: float) -> bool:
+        """Ask one replica of each shard; return whether all answered.
+
+        Raises
+        ------
+        OSError
+            If a target doesn't answer in time.
+        """
+        calls = (
+            self._one(address, shard, text, seconds)
+            for shard, address in self._replicas(service)
+        )
+        return all(await asyncio.gather(*calls))
+
+    def _replicas(self, service: str) -> Iterator[tuple[str, str]]:
+        shards = self._config['services'][service]['shards']
+        for name, shard in shards.items():
+            target = self._rng.choice(shard['targets'])
+            yield name, self._config['targets'][target]['address']
+
+    async def _one(
+        self,
+        address: str,
+        shard: str,
+        text: str,
+        seconds: float,
+    ) -> bool:
+        body = {'shard': shard, 'layout': 0, 'version': 0, 'text': text}
+        attempt = f'straight-{next(self._numbers)}'
+        reply = await self._pool.request(
+            address,
+            'POST',
+            '/v1/search',
+            (
+                ('x-attempt', attempt),
+                ('x-deadline-ms', str(round(seconds * MS_PER_SECOND))),
+            ),
+            encode_json(body),
+            seconds,
+        )
+        own = reply.headers.get('x-attempt') == attempt
+        return own and json.loads(reply.body)['status'] == 'ok'
--- a/rosemaryweir/daemons/load_tally.py
+++ b/rosemaryweir/daemons/load_tally.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 from typing import Any, TypedDict
 
+from rosemaryweir.daemons.load_plan import ORDER, QUERY
 from rosemaryweir.telemetry.histogram import HistogramSet
 
 __all__ = ['LoadSummary', 'LoadTally']
@@ -53,6 +54,11 @@
         self._covered: list[float] = []
         self._histograms = HistogramSet()
 
+    def sent(self, path: str) -> None:
+        """Count a request by its path."""
+        self.queries += int(path == QUERY)
+        self.orders += int(path == ORDER)
+
     def answered(
         self,
         kind: str,
--- a/rosemaryweir/daemons/metrics.py
+++ b/rosemaryweir/daemons/metrics.py
@@ -1,11 +1,10 @@
-"""Metrics: to statsd, when the settings name one, and to histograms."""
+"""Metrics to statsd, when the settings name one."""
 
 from typing import Any
 
 from statsd import StatsClient
 
 from rosemaryweir.node.action import Metric
-from rosemaryweir.telemetry.histogram import HistogramSet
 
 __all__ = ['Metrics', 'metric_path']
 
@@ -21,15 +20,9 @@
         Role of the process, part of each name.
     address : str, optional
         ``ip:port`` of statsd; nothing is sent without one.
-
-    Attributes
-    ----------
-    histograms : HistogramSet
-        Every time that was measured, by name and tags.
     """
 
     def __init__(self, role: str, address: str = '') -> None:
-        self.histograms = HistogramSet()
         self._client: Any = None
         if address:
             host, _, port = address.rpartition(':')
@@ -38,8 +31,6 @@
 
     def take(self, metric: Metric) -> None:
         """Take one measurement."""
-        if metric.form == 'time':
-            self.histograms.record(metric.name, metric.amount, metric.tags)
         if self._client is not None:
             self._send(metric)
 
--- a/rosemaryweir/daemons/process.py
+++ b/rosemaryweir/daemons/process.py
@@ -78,8 +78,8 @@
         self.node = Node.from_config(settings, role, incarnation, rng)
         uid = self.node.state.uid
         self._log = EventLog(uid)
-        self._metrics = Metrics(role, settings.get('statsd', ''))
-        self.driver = Driver(self.node, clock, self._log, self._metrics)
+        metrics = Metrics(role, settings.get('statsd', ''))
+        self.driver = Driver(self.node, clock, self._log, metrics)
         post = self.driver.post
         self.peers = PeerPort(uid, post, clock)
         self._store = StoreClient(settings['store'], post)
@@ -139,10 +139,7 @@
             self.driver.finished.set_result(EXIT_CUT)
 
     def _extra_status(self) -> Mapping[str, Any]:
-        return {
-            'histograms': self._metrics.histograms.summaries(),
-            'peers': dict(self.peers.counts),
-        }
+        return {'peers': dict(self.peers.counts)}
 
 
 def read_settings(path: str) -> Settings:
--- a/rosemaryweir/daemons/tests/test_driver.py
+++ b/rosemaryweir/daemons/tests/test_driver.py
@@ -100,7 +100,8 @@
             StoreFailed('x:2', 'unavailable'),
         ]
         assert log.numbers == [ACTION_FAILED]
-        assert metrics.histograms.summary('query', **{'class': 'a'}).total == 1
+        histograms = driver.node.histograms
+        assert histograms.summary('query', **{'class': 'a'}).total == 1
 
     run(scenario)
 
--- a/rosemaryweir/daemons/tests/test_process.py
+++ b/rosemaryweir/daemons/tests/test_process.py
@@ -91,7 +91,7 @@
         assert all('XY99' in row['text'] for row in answer['rows'])
         status = await tier.get('/v1/status')
         assert status['peers']['taken'] > 0
-        assert 'histograms' in status
+        assert any('fan-' in name for name in status['latency_ms'])
 
     run(scenario, PORTS)
 
