No store call without an answer; the timer survives a part that raises

Cause: reading the drivers for calls that could end without an event. Found and mended: a store connection closed in the moment it stood was kept as free, and the call sent on it was never answered; a node whose next_wake raised was never woken again. Lists of the store are decoded by type, not by the schema.

--- a/rosemaryweir/daemons/driver.py
+++ b/rosemaryweir/daemons/driver.py
@@ -54,6 +54,9 @@
 #: Least time between two wakes, in seconds: a timer that doesn't move on
 #: must not take the whole loop.
 LEAST_WAKE_SECONDS = 0.001
+#: Time until the next wake when the node could not name one, in seconds: a
+#: process without a timer would stand still.
+RETRY_WAKE_SECONDS = 0.1
 _TARGET_CALLS = (
     OpenConnection,
     CloseConnection,
@@ -171,8 +174,15 @@
             fields = {'action': type(action).__name__, 'error': repr(exc)}
             self._log.event(ACTION_FAILED, fields)
 
+    def _next_wake(self) -> float | None:
+        try:
+            return self.node.next_wake()
+        except Exception as exc:  # noqa: BLE001
+            self._log.event(EVENT_FAILED, {'event': 'wake', 'error': repr(exc)})
+        return self._clock.monotonic() + RETRY_WAKE_SECONDS
+
     def _arm(self) -> None:
-        wanted = self.node.next_wake()
+        wanted = self._next_wake()
         if wanted == self._timer_at and self._timer is not None:
             return
         self.close()
--- a/rosemaryweir/daemons/tests/test_driver.py
+++ b/rosemaryweir/daemons/tests/test_driver.py
@@ -131,6 +131,22 @@
     run(scenario)
 
 
+def test_a_node_that_cannot_name_its_wake_is_woken_all_the_same():
+    async def scenario(driver, part, log, metrics):
+        def fail():
+            raise RuntimeError('no time')
+
+        part.next_wake = fail
+        driver.post(StoreFailed('x:1', 'unknown'))
+        assert log.numbers == [EVENT_FAILED]
+        del part.next_wake
+        part.due = 0.0
+        while 'wake' not in part.seen:
+            await asyncio.sleep(0.01)
+
+    run(scenario)
+
+
 def test_exit_ends_with_code_zero():
     async def scenario(driver, part, log, metrics):
         driver.post(ShutdownAsked())
--- a/rosemaryweir/platform/client.py
+++ b/rosemaryweir/platform/client.py
@@ -188,8 +188,12 @@
             self._fail_queue()
             return
         self._opening -= 1
-        self._free.append(channel)
-        self._pump()
+        if channel.open:
+            self._free.append(channel)
+            self._pump()
+        else:
+            # Accepted and closed at once: as good as refused.
+            self._fail_queue()
 
     def _fail_queue(self) -> None:
         waiting = tuple(self._queue)
@@ -204,6 +208,8 @@
             self._fail(call.action, sent=False)
         else:
             call.channel.fail('timeout')
+            # A channel that had ended before reports nothing more.
+            self.closed(call.channel, 'timeout', idle=False)
 
     def _answer(self, action: PlainCall, reply: HttpReply) -> None:
         try:
--- a/rosemaryweir/platform/tests/test_client.py
+++ b/rosemaryweir/platform/tests/test_client.py
@@ -114,6 +114,38 @@
     served(scenario)
 
 
+def test_connection_that_is_closed_as_soon_as_it_stands(monkeypatch):
+    async def scenario(fixture):
+        opened = client.open_channel
+
+        async def open_closed(*args):
+            channel = await opened(*args)
+            channel.fail('reset')
+            return channel
+
+        monkeypatch.setattr(client, 'open_channel', open_closed)
+        for call in ('a:1', 'a:2'):
+            failed = await fixture.call(StorePut(call, 'k', 0, b'one'))
+            assert failed == StoreFailed(call, 'unavailable')
+
+    served(scenario)
+
+
+def test_call_on_a_channel_that_ended_unseen_is_answered(monkeypatch):
+    monkeypatch.setattr(client, 'CALL_SECONDS', 0.2)
+
+    async def scenario(fixture):
+        await fixture.call(StoreGet('a:1', 'k'))
+        for channel in fixture.client._free:
+            channel.drop()
+        failed = await fixture.call(StorePut('a:2', 'k', 0, b'one'))
+        assert failed == StoreFailed('a:2', 'unknown')
+        made = await fixture.call(StorePut('a:3', 'k', 0, b'one'))
+        assert made.status == 'ok'
+
+    served(scenario)
+
+
 def test_more_calls_than_connections_are_all_answered():
     async def scenario(fixture):
         for number in range(100):
--- /dev/null
+++ b/rosemaryweir/platform/tests/test_wire.py
@@ -0,0 +1,55 @@
+"""What the object API writes is read back; anything else is refused."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from rosemaryweir.node.event import StoreObject
+from rosemaryweir.platform.wire import (
+    object_path,
+    objects_json,
+    parse_objects,
+    path_key,
+)
+from rosemaryweir.transport.exchange import encode_json
+
+ITEMS = st.builds(
+    StoreObject,
+    st.text(min_size=1, max_size=8),
+    st.integers(0, 2**40),
+    st.binary(max_size=20),
+)
+
+
+@settings(derandomize=True)
+@given(st.integers(0, 2**40), st.lists(ITEMS, max_size=4))
+def test_round_trip(revision, items):
+    listing = parse_objects(encode_json(objects_json(revision, items)))
+    assert (listing.revision, listing.objects) == (revision, tuple(items))
+
+
+@settings(derandomize=True)
+@given(st.text(st.characters(codec='utf-8'), min_size=1, max_size=12))
+def test_any_key_is_a_path(key):
+    path = object_path(key)
+    assert path.isascii()
+    if not key.startswith('/'):
+        assert path_key(path) == key
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        b'',
+        b'[]',
+        b'{"revision": 1}',
+        b'{"revision": "1", "objects": []}',
+        b'{"revision": 1, "objects": [{"key": "k", "version": 1}]}',
+        b'{"revision": 1, "objects": '
+        b'[{"key": "k", "version": 1, "content": "?"}]}',
+        b'\xff',
+    ],
+)
+def test_anything_else_is_refused(text):
+    with pytest.raises(ValueError):
+        parse_objects(text)
--- a/rosemaryweir/platform/wire.py
+++ b/rosemaryweir/platform/wire.py
@@ -2,13 +2,13 @@
 
 import base64
 import binascii
-import json
 from collections.abc import Iterable
-from typing import Any, NamedTuple
+from typing import NamedTuple
 from urllib.parse import quote, unquote
 
+import msgspec
+
 from rosemaryweir.node.event import StoreObject
-from rosemaryweir.schema.check import findings
 from rosemaryweir.schema.generated.platform import ObjectList, ObjectState
 
 __all__ = [
@@ -29,6 +29,7 @@
 WATCH_PATH = '/v1/watch'
 VMS_PATH = '/v1/vms'
 VERSION_HEADER = 'x-version'
+_LISTS = msgspec.json.Decoder(ObjectList)
 
 
 class Listing(NamedTuple):
@@ -90,14 +91,15 @@
     ValueError
         If the text is anything else.
     """
-    content = json.loads(text)
-    if findings('platform/ObjectList', content):
-        raise ValueError('not a list of objects')
+    try:
+        content = _LISTS.decode(text)
+    except msgspec.MsgspecError as exc:
+        raise ValueError(f'not a list of objects: {exc}') from exc
     items = tuple(_store_object(state) for state in content['objects'])
     return Listing(content['revision'], items)
 
 
-def _store_object(state: dict[str, Any]) -> StoreObject:
+def _store_object(state: ObjectState) -> StoreObject:
     try:
         content = base64.b64decode(state['content'], validate=True)
     except binascii.Error as exc:
