--- a/rosemaryweir/targets/account.py
+++ b/rosemaryweir/targets/account.py
@@ -5,6 +5,7 @@
 from rosemaryweir.targets.latency import Latency
 from rosemaryweir.targets.limits import Limits
 from rosemaryweir.targets.queue import WorkQueue, expected_wait
+from rosemaryweir.targets.silence import overdue_after
 from rosemaryweir.targets.slots import Slots
 from rosemaryweir.targets.warmth import Warmth
 from rosemaryweir.targets.work import Work
@@ -132,13 +133,14 @@
         self.slots.lost(work.attempt)
         self.doubtful.pop(work.attempt, None)
 
-    def learn(self, status: str, took: float, verified: bool) -> None:
+    def learn(self, status: str, took: float) -> None:
         """Learn from the status of an answer.
 
-        One that was dropped because it was overdue tells at least how long
-        it would have taken.
+        One that was dropped when it was overdue tells at least how long it
+        would have taken.
         """
-        if status == 'ok' or (status == 'cancelled' and verified):
+        overdue = took >= overdue_after(self.recent)
+        if status == 'ok' or (status == 'cancelled' and overdue):
             self._refusals = 0
             self.recent.add(took)
             self.warmth.served(took)
--- a/rosemaryweir/targets/dispatcher.py
+++ b/rosemaryweir/targets/dispatcher.py
@@ -14,7 +14,11 @@
 from rosemaryweir.targets.account import Account
 from rosemaryweir.targets.connections import PROVEN_WITHIN, Conn
 from rosemaryweir.targets.gate import Gate
-from rosemaryweir.targets.silence import condemned, overdue_after
+from rosemaryweir.targets.silence import (
+    longest,
+    overdue_after,
+    overtaken,
+)
 from rosemaryweir.targets.timers import Timers
 from rosemaryweir.targets.work import Work
 
@@ -22,12 +26,10 @@
 
 #: Time given to open a connection, in s.
 OPEN_WITHIN = 1.0
-#: Longest time between two looks at an overdue reply, in s.
+#: Time between two looks at an order whose reply is overdue, in s.
 LOOK_AGAIN = 0.02
-#: A target is asked to drop an attempt that is overdue by so many times the
-#: wait; a live connection carries the answer within so many s.
-VERIFY_AFTER = 2.0
-VERIFY_WITHIN = 0.05
+#: A live connection carries the answer to a cancellation within so many s.
+VERIFY_WITHIN = 0.03
 
 
 class Outcome(NamedTuple):
@@ -110,6 +112,8 @@
         """Drop an attempt; in flight it holds its slot until answered."""
         if work.conn:
             self._ask_cancel(account, work)
+            work.verify_at = work.verify_at or now + VERIFY_WITHIN
+            self.timers.at(work.verify_at, self._look, (account, work))
             self.settle(work, Outcome('cancelled', 'unknown'), now)
             return
         account.queue.remove(work)
@@ -172,7 +176,7 @@
         conn.alive_at = now
         account.meet(reply.incarnation)
         account.answered(work, now)
-        account.learn(reply.status, now - work.sent_at, bool(work.verify_at))
+        account.learn(reply.status, now - work.sent_at)
         self._finish(work, _outcome(reply), now)
         return True
 
@@ -223,6 +227,8 @@
         conn.work = work
         work.conn = conn.number
         work.sent_at = now
+        if work.kind == 'query':
+            work.deadline = min(work.deadline, now + longest(account.recent))
         account.slots.start(work.attempt, now, work.deadline)
         self.actions.append(
             SendTarget(
@@ -233,7 +239,7 @@
                 work.deadline,
             ),
         )
-        wait = overdue_after(account.warmth.history)
+        wait = overdue_after(account.recent)
         self.timers.at(
             min(work.deadline, now + wait),
             self._look,
@@ -275,41 +281,27 @@
         if now >= work.deadline:
             self.close(account, work.conn, 'timeout', now)
             return
-        history = account.warmth.history
-        waited = now - work.sent_at
-        if condemned(waited, work.overtaken, history):
-            self._verify(account, work, now)
-        elif not work.overtaken and waited >= overdue_after(history):
+        if work.verify_at and now >= work.verify_at:
+            self.close(account, work.conn, 'silent', now)
+            return
+        if now - work.sent_at >= overdue_after(account.recent):
             self._doubt(account, work, now)
-        if not work.done:
-            self.timers.at(
-                min(work.deadline, now + LOOK_AGAIN),
-                self._look,
-                (account, work),
-            )
+        due = work.verify_at or now + LOOK_AGAIN
+        self.timers.at(min(work.deadline, due), self._look, (account, work))
 
     def _doubt(self, account: Account, work: Work, now: float) -> None:
-        """Ask the target to answer at once, or condemn the connection."""
-        account.doubtful[work.attempt] = work
-        waited = now - work.sent_at
-        overdue = overdue_after(account.warmth.history)
-        if waited >= VERIFY_AFTER * overdue:
-            self._verify(account, work, now)
-
-    def _verify(self, account: Account, work: Work, now: float) -> None:
-        """Ask the target to drop a query; close if no answer to that comes.
-
-        To close at once would be wrong: the slot of an attempt whose
-        connection closed is held until its deadline, and among many attempts
-        a few are as late as this without any fault.
+        """Ask the target to drop a query whose reply is overdue.
+
+        A connection that carries no answer to that is silent.  To close it at
+        once would be wrong: the slot of an attempt whose connection closed is
+        held until its deadline, and among many attempts a few are as late as
+        this without any fault.
         """
-        if work.kind != 'query':
-            return
-        if not work.verify_at:
+        if not overtaken(work.overtaken):
+            account.doubtful[work.attempt] = work
+        if work.kind == 'query' and not work.verify_at:
             work.verify_at = now + VERIFY_WITHIN
             self._ask_cancel(account, work)
-        elif now >= work.verify_at:
-            self.close(account, work.conn, 'silent', now)
 
     def _ask_cancel(self, account: Account, work: Work) -> None:
         self.actions.append(
