Warmth counts served work alone; no limit above the cold one without a history

Change: dropped work is a sign, not a reply; eight warm replies are needed for a history before the limit rises. Conclusion: tests in test_warmth.py.

--- a/rosemaryweir/targets/account.py
+++ b/rosemaryweir/targets/account.py
@@ -139,8 +139,10 @@
         One that was dropped when it was overdue tells at least how long it
         would have taken.
         """
-        overdue = took >= overdue_after(self.recent)
-        if status == 'ok' or (status == 'cancelled' and overdue):
+        if status == 'cancelled' and took >= overdue_after(self.recent):
+            self.recent.add(took)
+            self.warmth.dropped(took)
+        if status == 'ok':
             self._refusals = 0
             self.recent.add(took)
             self.warmth.served(took)
--- a/rosemaryweir/targets/tests/test_warmth.py
+++ b/rosemaryweir/targets/tests/test_warmth.py
@@ -31,7 +31,7 @@
 def test_limit_grows_by_served_work_alone():
     warmth = Warmth(LIMITS)
     allowed = []
-    for _ in range(30):
+    for _ in range(40):
         warmth.served(WARM)
         allowed.append(warmth.allowed)
     assert set(allowed[:20]) == {1}
@@ -85,6 +85,20 @@
     assert warmth.allowed == 3
 
 
+def test_dropped_work_makes_no_target_warm():
+    warmth = Warmth(LIMITS)
+    for _ in range(60):
+        warmth.dropped(WARM)
+    assert warmth.cold
+    assert warmth.allowed == 1
+
+
+def test_dropped_work_is_a_sign():
+    warmth = _warm(Random(1))
+    warmth.dropped(10 * WARM)
+    assert warmth.allowed == 1
+
+
 def test_chilled_target_starts_again():
     warmth = _warm(Random(1))
     warmth.chilled()
--- a/rosemaryweir/targets/warmth.py
+++ b/rosemaryweir/targets/warmth.py
@@ -26,7 +26,8 @@
 #: So many replies that take less than this share of the mean clear a target.
 FAST_RATIO = 0.85
 FAST_MIN = 2
-#: Replies before a history can be compared with.
+#: Replies before a history can be compared with; until then a target gets no
+#: more than a cold one.
 HISTORY_MIN = 8
 #: A target as slow as ever after so many times ``warm_after`` replies is
 #: slow, not cold.
@@ -48,7 +49,7 @@
     >>> warmth = Warmth(Limits(3, 1, 30, 0.006, 2))
     >>> warmth.allowed
     1
-    >>> for _ in range(9):
+    >>> for _ in range(10):
     ...     warmth.served(0.01)
     >>> warmth.allowed
     3
@@ -78,7 +79,8 @@
     @property
     def allowed(self) -> int:
         """Requests that the target may run at once now."""
-        if self.cold or self.suspected:
+        known = self.history.count >= HISTORY_MIN
+        if self.cold or self.suspected or not known:
             return min(self.limits.cold_slots, int(self._limit))
         return int(self._limit)
 
@@ -104,6 +106,13 @@
             self.history.add(took)
             self._grow()
 
+    def dropped(self, took: float) -> None:
+        """Learn from work that was dropped after so many seconds.
+
+        It is a sign, but no work served.
+        """
+        self._compare(took)
+
     def resize(self, limits: Limits) -> None:
         """Follow a change of the configured limits."""
         self.limits = limits
