--- a/benchmarks/cold.py
+++ b/benchmarks/cold.py
@@ -39,7 +39,7 @@
 )
 from rosemaryweir.testing.fake_target import Job
 
-__all__ = ['run']
+__all__ = ['Unguarded', 'guarded_by', 'run']
 
 VMS = 6
 #: Time after which new leaves use their targets, and to warm up, in s.
@@ -135,7 +135,8 @@
 
 
 @contextmanager
-def _guard(warmth: type[Warmth]) -> Iterator[None]:
+def guarded_by(warmth: type[Warmth]) -> Iterator[None]:
+    """Let targets be judged by another kind of warmth."""
     # Accounts look the class up by its name in their module.
     names: dict[str, Any] = vars(account)
     names['Warmth'] = warmth
@@ -249,7 +250,7 @@
             figures[name] = found.figures()
             checks.extend(_checks(name, found))
     deployment = DEPLOYMENTS['halvorsen']
-    with _guard(Unguarded):
+    with guarded_by(Unguarded):
         bare = _scenario(deployment, 'restart', seed, AFTER_S)
     baselines['halvorsen.restart.no_guard'] = bare.figures()
     return Report('cold', seed, figures, baselines, tuple(checks))
--- a/benchmarks/deployed_load.py
+++ b/benchmarks/deployed_load.py
@@ -11,6 +11,8 @@
 #: Mean service time of a fake target whose median is 10 ms, in s.
 MEAN_S = 0.0122
 MS = 1000.0
+#: By then what was on its way to a VM has arrived, in s.
+ARRIVAL_S = 0.01
 HTTP_OK = 200
 
 
@@ -61,6 +63,8 @@
     ----------
     asks : list of tuple of Stream and Ask
         Every request, with the stream that it belongs to.
+    marks : list of tuple
+        Name, start and end of each phase.
     vms : list of str
         VMs that callers ask; change it when the directory would.
     """
@@ -76,6 +80,7 @@
         self.rng = Random(seed)
         self.vms = sorted(cluster.settings)
         self.asks: list[tuple[Stream, Ask]] = []
+        self.marks: list[tuple[str, float, float]] = []
         self._until = 0.0
 
     def run(self, seconds: float) -> None:
@@ -85,10 +90,27 @@
             self._next(stream)
         self.cluster.run(seconds)
 
+    def leave(self, vms: Iterable[str]) -> None:
+        """Let callers leave VMs; those whose requests were cut ask again."""
+        self.vms = [vm for vm in self.vms if vm not in set(vms)]
+        self._ask_cut()
+        self.cluster.scheduler.after(ARRIVAL_S, self._ask_cut)
+
     def since(self, start: float, end: float) -> list[tuple[Stream, Ask]]:
         """Return the requests of a span of time."""
         return [each for each in self.asks if start <= each[1].asked < end]
 
+    def _ask_cut(self) -> None:
+        for place, (stream, ask) in enumerate(self.asks):
+            if ask.cut and not ask.answered:
+                self.asks[place] = (stream, self._ask_again(ask))
+
+    def _ask_again(self, ask: Ask) -> Ask:
+        vm = self.rng.choice(self.vms)
+        again = self.cluster.ask(vm, 'query', ask.body)
+        again.asked = ask.asked
+        return again
+
     def _next(self, stream: Stream) -> None:
         wait = self.rng.expovariate(stream.rate)
         if self.cluster.now + wait < self._until:
--- /dev/null
+++ b/benchmarks/domain.py
@@ -0,0 +1,240 @@
+"""One of three failure domains is withdrawn, restored, lost, and restored.
+
+Whole VMs run, with agents, store and notes.  A loss takes the VMs and the
+targets of the failure domain down at once, and nothing tells the others.
+"""
+
+from random import Random
+from typing import Any, NamedTuple
+
+from benchmarks.deployed_load import Streams, Window, streams_of, windows
+from benchmarks.report import (
+    Check,
+    Report,
+    at_least,
+    at_most,
+    benchmark,
+)
+from rosemaryweir.schema.generated.note import ReleaseNote
+from rosemaryweir.testing import (
+    DEPLOYMENTS,
+    Cluster,
+    Deployment,
+    config_of,
+    note_of,
+    vm_settings,
+)
+
+__all__ = ['run']
+
+VMS = 6
+#: Time until views are settled, until the first note is in force, and to
+#: warm up, in s.
+SETTLE_S = 5.0
+IN_FORCE_S = 5.0
+WARM_UP_S = 3.0
+#: How long each phase is observed, in s.
+PHASE_S = 3.0
+FULL_PHASE_S = 12.0
+FIRST_SHARE = 0.3
+SECOND_SHARE = 0.05
+LAST_WORK_S = 3.0
+SERVICE_MIN = 0.999
+OPERATOR = 'vm-000'
+
+
+class Phase(NamedTuple):
+    """What was seen in one phase."""
+
+    name: str
+    windows: list[Window]
+
+    @property
+    def service(self) -> float:
+        """The least service of any window."""
+        return min(window.service for window in self.windows)
+
+
+class Found(NamedTuple):
+    """What one run found."""
+
+    phases: list[Phase]
+    last_work: float
+    collapses: int
+
+
+class Course:
+    """One run through the phases.
+
+    Attributes
+    ----------
+    domain : str
+        The failure domain that leaves and returns; the operator is not there.
+    """
+
+    def __init__(self, deployment: Deployment, seed: int) -> None:
+        self.cluster = Cluster(
+            vm_settings(deployment, VMS),
+            config_of(deployment),
+            seed=seed,
+        )
+        sizes = [each for each in deployment.services if each.work == 'query']
+        names = [size.name for size in sizes]
+        shares = dict(zip(names, (FIRST_SHARE, SECOND_SHARE), strict=True))
+        load = streams_of(deployment, shares)
+        self.streams = Streams(self.cluster, load, seed)
+        self.deployment = deployment
+        self.rng = Random(seed)
+        self.generation = 0
+        home = self.cluster.settings[OPERATOR]['domain']
+        others = [each for each in deployment.domains if each != home]
+        self.domain = self.rng.choice(others)
+
+    @property
+    def vms(self) -> list[str]:
+        """VMs of the failure domain."""
+        return [
+            vm
+            for vm, settings in self.cluster.settings.items()
+            if settings['domain'] == self.domain
+        ]
+
+    @property
+    def targets(self) -> list[str]:
+        """Targets of the failure domain."""
+        return [
+            name
+            for name, target in self.cluster.config['targets'].items()
+            if target['domain'] == self.domain
+        ]
+
+    def begin(self) -> None:
+        """Put the deployment in force and warm it up."""
+        self.cluster.run(SETTLE_S)
+        self.cluster.ask(
+            OPERATOR,
+            'note',
+            note_of(self.deployment),
+            role='agent',
+        )
+        self.generation = 1
+        self.cluster.run(IN_FORCE_S)
+        self.streams.run(WARM_UP_S)
+
+    def observe(self, name: str, seconds: float) -> None:
+        """Load the cluster for so long."""
+        start = self.cluster.now
+        self.streams.run(seconds)
+        end = self.cluster.now
+        self.streams.marks.append((name, start, end))
+
+    def change(self, state: str) -> Any:
+        """Write a note that takes the failure domain out or in."""
+        note = ReleaseNote(
+            note=f'{self.domain}-{state}-{self.generation}',
+            format=1,
+            base=self.generation,
+            changed={'domains': {self.domain: {'state': state}}},  # type: ignore[typeddict-item]
+        )
+        self.generation += 1
+        return self.cluster.ask(OPERATOR, 'note', note, role='agent')
+
+    def lose(self) -> None:
+        """Take VMs and targets down; no connection is told."""
+        for name in self.targets:
+            target = self.cluster.targets[name]
+            target.up = False
+            target.running.clear()
+            target.silent.update(target.connections)
+        for vm in self.vms:
+            self.cluster.kill_vm(vm)
+        self.streams.leave(self.vms)
+
+    def bring_back(self) -> None:
+        """Start VMs and targets again, the targets cold."""
+        for vm in self.vms:
+            self.cluster.start_vm(self.cluster.settings[vm])
+        for name in self.targets:
+            target = self.cluster.targets[name]
+            target.connections.clear()
+            target.silent.clear()
+            target.start()
+
+    def last_work(self, since: float, until: float) -> float:
+        """Return when the last work began there in a span of time."""
+        began = [
+            each.when
+            for name in self.targets
+            for each in self.cluster.targets[name].runs
+            if since <= each.when < until
+        ]
+        return max(began, default=since)
+
+
+def _course(deployment: Deployment, seed: int, seconds: float) -> Found:
+    course = Course(deployment, seed)
+    course.begin()
+    course.observe('before', seconds / 2)
+    withdrawal = course.change('out')
+    course.observe('withdrawn', seconds)
+    end = course.cluster.now
+    last = course.last_work(withdrawal.answered, end) - withdrawal.answered
+    course.change('in')
+    course.observe('restored', seconds)
+    course.lose()
+    course.observe('lost', seconds)
+    course.bring_back()
+    course.observe('returned', seconds)
+    course.cluster.run(SETTLE_S)
+    asks = course.streams.asks
+    phases = [
+        Phase(name, list(windows(asks, start, end)))
+        for name, start, end in course.streams.marks
+    ]
+    fakes = course.cluster.targets.values()
+    return Found(phases, last, sum(fake.collapses for fake in fakes))
+
+
+def _figures(found: Found) -> dict[str, Any]:
+    return {
+        'last_new_work_s': round(found.last_work, 3),
+        'collapses': found.collapses,
+        'least_service': {
+            phase.name: round(phase.service, 5) for phase in found.phases
+        },
+        'p99_ms': _p99(found),
+    }
+
+
+def _p99(found: Found) -> dict[str, list[float]]:
+    return {
+        phase.name: [window.p99_ms for window in phase.windows]
+        for phase in found.phases
+    }
+
+
+def _checks(name: str, found: Found) -> list[Check]:
+    checks = [
+        at_most(f'{name}.last_new_work_s', found.last_work, LAST_WORK_S),
+        at_most(f'{name}.collapses', found.collapses, 0),
+    ]
+    checks.extend(
+        at_least(f'{name}.{phase.name}.service', phase.service, SERVICE_MIN)
+        for phase in found.phases
+    )
+    return checks
+
+
+@benchmark('domain')
+def run(seed: int, quick: bool) -> Report:
+    """Measure service while a failure domain leaves and returns."""
+    seconds = PHASE_S if quick else FULL_PHASE_S
+    figures: dict[str, Any] = {}
+    baselines: dict[str, Any] = {}
+    checks: list[Check] = []
+    for deployment in DEPLOYMENTS.values():
+        found = _course(deployment, seed, seconds)
+        figures[deployment.name] = _figures(found)
+        baselines[f'{deployment.name}.before'] = _p99(found)['before']
+        checks.extend(_checks(deployment.name, found))
+    return Report('domain', seed, figures, baselines, tuple(checks))
--- a/rosemaryweir/config/vouching.py
+++ b/rosemaryweir/config/vouching.py
@@ -2,7 +2,14 @@
 
 from collections.abc import Collection, Iterator, Mapping, Sequence
 
-__all__ = ['STEPS', 'STEP_S', 'mask_of', 'members_of', 'vouch_ages', 'vouch_masks']
+__all__ = [
+    'STEPS',
+    'STEP_S',
+    'mask_of',
+    'members_of',
+    'vouch_ages',
+    'vouch_masks',
+]
 
 #: Step in which ages are rounded up, in seconds.
 STEP_S = 0.25
@@ -19,9 +26,7 @@
     >>> mask_of(['a', 'b', 'c'], {'a', 'c'}), members_of(['a', 'b', 'c'], '5')
     ('5', ['a', 'c'])
     """
-    bits = (
-        1 << place for place, vm in enumerate(members) if vm in having
-    )
+    bits = (1 << place for place, vm in enumerate(members) if vm in having)
     return f'{sum(bits):x}'
 
 
