Fault matrix: faults at steps, promises read from the fakes, mutations

Cause: each part was shown alone; nothing struck the composed nodes at every step and checked all ten promises at once. It found that an order whose caller hung up and whose leaf never answered stayed open for good and held up the shutdown: the timer is set anew; a test names it, and the state machine hangs up callers now.

--- a/benchmarks/faults/catalogue.py
+++ b/benchmarks/faults/catalogue.py
@@ -1,11 +1,17 @@
 """Every fault: importing this module registers them all."""
 
-from benchmarks.faults import network, processes, storage, targets
+from benchmarks.faults import (
+    network,
+    operators,
+    processes,
+    storage,
+    targets,
+)
 from benchmarks.faults.registry import Fault, registered
 
 __all__ = ['MODULES', 'faults']
 
-MODULES = (network, processes, storage, targets)
+MODULES = (network, operators, processes, storage, targets)
 
 
 def faults() -> dict[str, Fault]:
--- /dev/null
+++ b/benchmarks/faults/mutations.py
@@ -0,0 +1,240 @@
+"""Mutations: ways to break the node that the matrix must find.
+
+Each breaks one promise on purpose, in one place; a test runs the cell named
+with it and expects a violation of that promise.
+"""
+
+import contextlib
+from collections.abc import Callable, Iterator
+from itertools import chain
+from typing import Any, NamedTuple
+
+from rosemaryweir.membership.agent_client import AgentClient
+from rosemaryweir.node.action import ReplyCaller
+from rosemaryweir.node.node import Node
+from rosemaryweir.node.state import Lease, NodeState
+from rosemaryweir.orders import bucket, desk
+from rosemaryweir.orders.answer import Denial, answer_order
+from rosemaryweir.query.merge import Merge, Merged
+from rosemaryweir.schema.generated.http import Row
+from rosemaryweir.targets.leaving import Exclusions
+from rosemaryweir.targets.warmth import Warmth
+
+__all__ = ['Mutation', 'applied', 'mutations']
+
+
+class Mutation(NamedTuple):
+    """A defect, the promise that it breaks, and a cell that must show it."""
+
+    name: str
+    promise: str
+    step: str
+    fault: str
+    owner: Any
+    attribute: str
+    broken: Any
+
+
+_MUTATIONS: dict[str, Mutation] = {}
+
+
+def mutation(
+    name: str,
+    promise: str,
+    cell: tuple[str, str],
+    owner: Any,
+    attribute: str,
+) -> Callable[[Any], Any]:
+    """Register a stand-in for an attribute."""
+
+    def decorate(broken: Any) -> Any:
+        step, fault = cell
+        stand_in = broken() if isinstance(broken, type) else broken
+        _MUTATIONS[name] = Mutation(
+            name,
+            promise,
+            step,
+            fault,
+            owner,
+            attribute,
+            stand_in,
+        )
+        return broken
+
+    return decorate
+
+
+def mutations() -> dict[str, Mutation]:
+    """Return the registered mutations by name."""
+    return dict(_MUTATIONS)
+
+
+@contextlib.contextmanager
+def applied(mutant: Mutation) -> Iterator[None]:
+    """Break the node for a while."""
+    with contextlib.ExitStack() as stack:
+        usual = vars(mutant.owner)[mutant.attribute]
+        stack.callback(setattr, mutant.owner, mutant.attribute, usual)
+        setattr(mutant.owner, mutant.attribute, mutant.broken)
+        yield
+
+
+@mutation(
+    'merge across versions',
+    'P1',
+    ('query runs', 'index change in flight'),
+    Merge,
+    'answer',
+)
+def merge_versions(self: Merge, version: int) -> Merged:
+    """Answer with the rows of every version."""
+    found = dict(chain.from_iterable(map(dict.items, self._versions.values())))
+    rows = {
+        shard: Row(shard=shard, key=each[0][0], text=each[0][1])
+        for shard, each in found.items()
+        if each
+    }
+    merged = _answer(self, version)
+    missing = [shard for shard in self.shards if shard not in rows]
+    coverage = merged.coverage
+    coverage['missing'] = missing
+    coverage['covered'] = len(rows)
+    return merged._replace(rows=list(rows.values()))
+
+
+_answer = Merge.answer
+
+
+@mutation(
+    'claim full coverage',
+    'P2',
+    ('query runs', 'failure domain lost and returning'),
+    Merge,
+    'answer',
+)
+def claim_coverage(self: Merge, version: int) -> Merged:
+    """Say that no shard is missing."""
+    merged = _answer(self, version)
+    merged.coverage['covered'] = merged.coverage['total']
+    merged.coverage['missing'] = []
+    return merged
+
+
+@mutation(
+    'ignore the cold limit',
+    'P3',
+    ('query runs', 'failure domain lost and returning'),
+    Warmth,
+    'allowed',
+)
+class FullSlots:
+    """Allow every slot at any time."""
+
+    def __get__(self, warmth: Warmth, owner: type) -> int:
+        """Return every slot."""
+        return warmth.limits.slots
+
+
+@mutation(
+    'ignore that a domain is out',
+    'P4',
+    ('query runs', 'failure domain withdrawn'),
+    NodeState,
+    'domain_open',
+)
+def always_open(self: NodeState, domain: str) -> bool:
+    """Take every failure domain for open."""
+    return True
+
+
+@mutation(
+    'answer with the reply of another order',
+    'P5',
+    ('order runs', 'straggler'),
+    desk,
+    'answer_order',
+)
+def other_reply(req: int, order_key: str, *rest: Any) -> ReplyCaller:
+    """Answer every order alike."""
+    return answer_order(req, order_key, rest[0], 'ran another', rest[2])
+
+
+@mutation(
+    'say not_run when no answer came',
+    'P6',
+    ('order runs', 'messages lost'),
+    desk.OrderDesk,
+    '_overdue_sent',
+)
+def deny_falsely(self: desk.OrderDesk, order: Any, now: float) -> Iterator[Any]:
+    """Refuse an order that has left."""
+    denial = Denial('deadline', 'not_run', '')
+    yield from self._release(order, denial, now)
+
+
+@mutation(
+    'send again after the first byte',
+    'P7',
+    ('order runs', 'messages lost'),
+    desk.OrderDesk,
+    '_overdue_sent',
+)
+def send_again(self: desk.OrderDesk, order: Any, now: float) -> Iterator[Any]:
+    """Offer an order to another target when no answer came."""
+    order.deadline = now + 1.0
+    order.late_until = now + 1.0
+    self.book.set_timer(order)
+    yield from self._send_anew(order, 'no answer', now)
+
+
+@mutation(
+    'take over the claims of others',
+    'P7',
+    ('order runs', 'messages lost'),
+    bucket,
+    '_free',
+)
+def always_free(found: Any, claim: Any) -> bool:
+    """Let every claim win."""
+    return found is None or found['attempt'] != claim.attempt
+
+
+@mutation(
+    'ignore that a target leaves',
+    'P8',
+    ('query runs', 'target leaving'),
+    Exclusions,
+    '__contains__',
+)
+def never_excluded(self: Exclusions, target: str) -> bool:
+    """Exclude no target."""
+    return False
+
+
+@mutation(
+    'exit with requests open',
+    'P9',
+    ('shutdown asked', 'straggler'),
+    Node,
+    'busy',
+)
+def never_busy(self: Node, now: float) -> bool:
+    """Wait for nothing at shutdown."""
+    return False
+
+
+@mutation(
+    'serve an older generation',
+    'P10',
+    ('note asked', 'straggler'),
+    AgentClient,
+    '_renew',
+)
+def serve_first(self: AgentClient) -> Iterator[Any]:
+    """Go back to the first configuration, whatever is granted."""
+    known = vars(self).setdefault('first', self.state.config)
+    if known['generation'] == 0:
+        vars(self)['first'] = self.state.config
+    self.state.config = vars(self)['first']
+    self.state.lease = Lease(self._granted.until, self._granted.reason)
+    return iter(())
--- a/rosemaryweir/orders/book.py
+++ b/rosemaryweir/orders/book.py
@@ -47,8 +47,13 @@
         while self._timers and self._timers[0][0] <= now:
             _, order_key = heapq.heappop(self._timers)
             order = self._orders.get(order_key)
-            if order is not None and order.timer <= now:
+            if order is None:
+                continue
+            if order.timer <= now:
                 yield order
+            else:
+                # Its callers hung up, so that it may wait longer.
+                self.set_timer(order)
 
     def forget_caller(self, req: int) -> None:
         """Let the order of a caller that hung up go on without it."""
--- a/rosemaryweir/orders/logs.py
+++ b/rosemaryweir/orders/logs.py
@@ -96,6 +96,9 @@
 
     def start_due(self, now: float) -> Iterable[Action]:
         """Start the rounds that are due, as far as the pace allows."""
+        cleaning = self.cleaner.start(now)
+        if cleaning is not None:
+            yield cleaning
         due = [
             log
             for log in self._logs
@@ -108,9 +111,6 @@
             action = log.start(now)
             self._note_call(log)
             yield action
-        cleaning = self.cleaner.start(now)
-        if cleaning is not None:
-            yield cleaning
 
     def next_wake(self) -> float | None:
         """Return when `expire` or `start_due` has work."""
--- a/rosemaryweir/orders/tests/test_machine.py
+++ b/rosemaryweir/orders/tests/test_machine.py
@@ -13,6 +13,7 @@
     rule,
 )
 
+from rosemaryweir.node.event import CallerGone
 from rosemaryweir.node.state import Lease
 from rosemaryweir.orders.tests.rig import Rig
 
@@ -57,6 +58,13 @@
     def leaf(self, pick, outcome):
         self.rig.answer_send(pick % len(self.rig.sends), outcome)
 
+    @precondition(lambda self: self.rig.asks)
+    @rule(pick=st.integers(0, 20))
+    def caller_hangs_up(self, pick):
+        req = 1 + pick % len(self.rig.asks)
+        self.rig.give(self.rig.asks[req].vm, CallerGone(req))
+        self.rig.answers.setdefault(req, None)
+
     @rule(seconds=st.sampled_from((0.01, 0.1, 0.6, 2.5, 12.0)))
     def time_passes(self, seconds):
         self.rig.pass_time(seconds)
--- a/rosemaryweir/orders/tests/test_service.py
+++ b/rosemaryweir/orders/tests/test_service.py
@@ -275,6 +275,16 @@
     assert rig.records()['k1']['state'] == 'done'
 
 
+def test_an_order_without_callers_or_answer_ends():
+    rig = Rig()
+    req = claimed(rig)
+    rig.give('vm-000', CallerGone(req))
+    rig.answer_send(outcome='lost')
+    rig.settle(15)
+    assert rig.records()['k1']['state'] == 'unknown'
+    assert not rig.nodes['vm-000'].busy(rig.now)
+
+
 def test_shutdown_waits_for_the_record():
     rig = Rig()
     claimed(rig)
