An order that is overdue holds its slot past its deadline

Ruled out: warmth (the target was known cold). Change: a target drops a query at its deadline but finishes an order; the slot of an order without an answer is held for 10 s more. Conclusion: test_overdue_order_holds_its_slot_past_its_deadline.

--- a/rosemaryweir/targets/dispatcher.py
+++ b/rosemaryweir/targets/dispatcher.py
@@ -20,7 +20,7 @@
     overtaken,
 )
 from rosemaryweir.targets.timers import Timers
-from rosemaryweir.targets.work import Work
+from rosemaryweir.targets.work import OVERRUN, Work
 
 __all__ = ['Dispatcher', 'Outcome']
 
@@ -229,7 +229,8 @@
         work.sent_at = now
         if work.kind == 'query':
             work.deadline = min(work.deadline, now + longest(account.recent))
-        account.slots.start(work.attempt, now, work.deadline)
+        over = work.deadline + OVERRUN[work.kind]
+        account.slots.start(work.attempt, now, over)
         self.actions.append(
             SendTarget(
                 conn.number,
--- a/rosemaryweir/targets/tests/test_service.py
+++ b/rosemaryweir/targets/tests/test_service.py
@@ -74,6 +74,18 @@
     assert len(leaf.sends) == 2
 
 
+def test_overdue_order_holds_its_slot_past_its_deadline(leaf):
+    leaf.order('o1', remaining_ms=300)
+    leaf.open_all()
+    leaf.to(leaf.now + 0.4)
+    assert leaf.orders() == [('o1', 'unknown')]
+    leaf.order('o2', remaining_ms=2000)
+    leaf.open_all()
+    assert len(leaf.sends) == 1
+    leaf.to(leaf.now + 3.0)
+    assert leaf.orders()[-1] == ('o2', 'refused')
+
+
 def test_silent_connection_is_condemned_not_the_target(warm):
     silent = warm.ask()
     for _ in range(3):
--- a/rosemaryweir/targets/work.py
+++ b/rosemaryweir/targets/work.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-__all__ = ['MAX_WORK', 'Work']
+__all__ = ['MAX_WORK', 'OVERRUN', 'Work']
 
 #: No attempt is given a target for longer, in s; a new owner that can't know
 #: what the previous one left behind waits for so long.
@@ -12,6 +12,10 @@
 #: left to go elsewhere.  An order has nowhere else to go.
 QUEUE_SHARE = {'query': 0.3, 'order': 1.0}
 
+#: Longest time that work runs on past its deadline, in s.  A target drops a
+#: query at its deadline; an order that it has begun it finishes.
+OVERRUN = {'query': 0.0, 'order': 10.0}
+
 
 class Work:
     """An attempt: what to send, until when, and whom to tell.
