Parts get events in one order, whatever was imported first

Cause: a test run that imports the targets before compose registered the leaf's parts the other way round; 11 tests of the fleet's limits then saw no run at all. Ruled out: the tests themselves (they pass alone). Change: compose names every part module and arranges the registry.

--- a/rosemaryweir/compose.py
+++ b/rosemaryweir/compose.py
@@ -18,12 +18,12 @@
 start work.
 """
 
-import contextlib
 import importlib
 
 from rosemaryweir.node.node import Node
+from rosemaryweir.node.part import arrange_parts
 
-__all__ = ['ROLES', 'Node']
+__all__ = ['PART_MODULES', 'ROLES', 'Node', 'load_parts']
 
 ROLES = ('entry', 'leaf', 'agent')
 
@@ -32,7 +32,10 @@
 PART_MODULES = (
     'rosemaryweir.membership.agent_client',
     'rosemaryweir.membership.directory',
+    'rosemaryweir.membership.grants',
+    'rosemaryweir.membership.view_service',
     'rosemaryweir.membership.service',
+    'rosemaryweir.config.note_service',
     'rosemaryweir.config.service',
     'rosemaryweir.query.service',
     'rosemaryweir.orders.service',
@@ -41,10 +44,10 @@
 
 
 def load_parts() -> None:
-    """Import the modules of the parts, so that they register."""
+    """Import the modules of the parts, so that they register in order."""
     for name in PART_MODULES:
-        with contextlib.suppress(ModuleNotFoundError):
-            importlib.import_module(name)
+        importlib.import_module(name)
+    arrange_parts(PART_MODULES)
 
 
 load_parts()
--- a/rosemaryweir/node/part.py
+++ b/rosemaryweir/node/part.py
@@ -9,7 +9,7 @@
         def answer(self, event, now): ...
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from random import Random
 from typing import Any, ClassVar, TypeVar
 
@@ -17,7 +17,7 @@
 from rosemaryweir.node.event import Event
 from rosemaryweir.node.state import NodeState
 
-__all__ = ['Part', 'handles', 'part_of', 'parts_of']
+__all__ = ['Part', 'arrange_parts', 'handles', 'part_of', 'parts_of']
 
 Handler = Callable[[Any, Any, float], Iterable[Action]]
 HandlerKey = tuple[type, str | None]
@@ -100,8 +100,7 @@
 def part_of(*roles: str) -> Callable[[PartType], PartType]:
     """Register a part with the nodes of the roles named.
 
-    Roles are ``entry``, ``leaf`` and ``agent``.  Parts get events in the
-    order of their registration.
+    Roles are ``entry``, ``leaf`` and ``agent``.
     """
 
     def decorate(part_type: PartType) -> PartType:
@@ -115,3 +114,12 @@
 def parts_of(role: str) -> tuple[type[Part], ...]:
     """Return the types of the parts that make up a role."""
     return tuple(_ROLES.get(role, ()))
+
+
+def arrange_parts(modules: Sequence[str]) -> None:
+    """Order the parts of every role by their modules.
+
+    Parts get events in this order, whatever the order of imports was.
+    """
+    for parts in _ROLES.values():
+        parts.sort(key=lambda part: modules.index(part.__module__))
