--- a/tools/pages.py
+++ b/tools/pages.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from rosemaryweir import compose
+from rosemaryweir.daemons import process
 from rosemaryweir.node.catalogue import catalogue
 
 __all__ = ['events', 'main', 'page', 'settings', 'stale_pages']
@@ -41,6 +42,8 @@
 def events() -> Iterator[str]:
     """Yield the catalogue of log events."""
     compose.load_parts()
+    # The daemons register events of their own when they are imported.
+    assert process.STARTED  # noqa: S101
     yield '# Catalogue of log events\n'
     yield 'Every log line carries the number and the name of its event.'
     yield f'{MADE_BY}\n'
