Benchmarks coverage and overload; limit follows queueing; one fast reply clears a target

Cause: at twice the capacity the entry's limit followed only its deadline, and in `tail` a healthy target stayed at one slot until two fast replies came. Conclusion: tail's absolute bound is open.

--- /dev/null
+++ b/benchmarks/coverage.py
@@ -0,0 +1,220 @@
+"""True coverage while replicas are lost, versions and layouts change.
+
+The truth is taken from what the targets logged: each row tells the layout and
+version that it was served from, and a target runs only what was asked of it.
+"""
+
+from collections.abc import Callable, Iterator
+from copy import deepcopy
+from random import Random
+from typing import Any, NamedTuple
+
+from benchmarks.query_load import SERVICE, Load, make_cluster
+from benchmarks.report import Report, at_least, at_most, benchmark
+from rosemaryweir.schema.generated.config import ClassPolicy, Shard
+from rosemaryweir.testing import Ask, Cluster
+
+__all__ = ['coverage']
+
+SHARDS = 2
+SPLIT_SHARDS = 3
+ANSWERS = 50300
+RATE = 200.0
+#: Time between changes of the index, and the spread of one over the targets.
+INDEX_EVERY_S = 3.0
+INDEX_SPREAD_S = 1.0
+#: How long a target holds the version before.
+OVERLAP_S = 2.0
+LOSS_EVERY_S = 2.0
+LOSS_FOR_S = 1.0
+LAYOUT_EVERY_S = 9.0
+LAYOUT_SPREAD_S = 0.3
+PROGRESS_S = 0.5
+SLOTS = 8
+DEADLINE_MS = 1000
+
+
+class Truth(NamedTuple):
+    """What is untrue of one answer; empty when all is true."""
+
+    faults: tuple[str, ...]
+    coverage: float
+
+
+class World:
+    """Faults of the targets, and the layouts that there have been.
+
+    ``layouts`` maps each layout to its shards; a target holds one layout.
+    """
+
+    def __init__(self, cluster: Cluster, seed: int) -> None:
+        self.cluster = cluster
+        self.rng = Random(seed)
+        self.version = 1
+        self.layouts = {1: set(self._service()['shards'])}
+        self._after(INDEX_EVERY_S, self.change_index)
+        self._after(LOSS_EVERY_S, self.lose)
+        self._after(LAYOUT_EVERY_S, self.repartition)
+
+    def change_index(self) -> None:
+        """Let the targets get a new version, each when it has it."""
+        self.version += 1
+        for target in self.cluster.targets.values():
+            wait = self.rng.random() * INDEX_SPREAD_S
+            self._after(wait, self._get, target, self.version)
+            self._after(wait + OVERLAP_S, self._drop, target, self.version)
+        self._after(INDEX_EVERY_S, self.change_index)
+
+    def lose(self) -> None:
+        """Stop one replica of each shard for a while; the others live."""
+        for shard in self._service()['shards'].values():
+            target = self.cluster.targets[self.rng.choice(shard['targets'])]
+            if target.up:
+                target.stop()
+                self._after(LOSS_FOR_S, self._restart, target)
+        self._after(LOSS_EVERY_S, self.lose)
+
+    def repartition(self) -> None:
+        """Move to a layout with another number of shards, on new targets.
+
+        The targets of the old layout serve on, as queries pinned to it run.
+        """
+        config = deepcopy(self.cluster.config)
+        service = config['services'][SERVICE]
+        layout = service['layout'] + 1
+        count = SPLIT_SHARDS if layout % 2 == 0 else SHARDS
+        old = list(config['targets'].values())
+        service['layout'] = layout
+        service['shards'] = {
+            f'{SERVICE}-l{layout}-{shard}': Shard(
+                targets=[
+                    f'{SERVICE}-l{layout}-{shard}-{replica}'
+                    for replica in range(3)
+                ],
+            )
+            for shard in range(count)
+        }
+        names = [
+            name
+            for shard in service['shards'].values()
+            for name in shard['targets']
+        ]
+        for place, name in enumerate(names):
+            config['targets'][name] = deepcopy(old[place % len(old)])
+            config['targets'][name]['domain'] = 'abc'[place % 3]
+        config['generation'] += 1
+        self.layouts[layout] = set(service['shards'])
+        self._create(config, names)
+        self._after(LAYOUT_SPREAD_S, self.cluster.set_config, config)
+        self._after(LAYOUT_EVERY_S, self.repartition)
+
+    def _create(self, config: Any, names: list[str]) -> None:
+        self.cluster.add_targets(config)
+        for name in names:
+            target = self.cluster.targets[name]
+            target.cold = False
+            target.versions = (self.version,)
+
+    def _service(self) -> Any:
+        return self.cluster.config['services'][SERVICE]
+
+    def _get(self, target: Any, version: int) -> None:
+        target.versions = (*target.versions, version)
+
+    def _drop(self, target: Any, version: int) -> None:
+        target.versions = tuple(
+            each for each in target.versions if each >= version
+        )
+
+    def _restart(self, target: Any) -> None:
+        target.start()
+        target.cold = False
+
+    def _after(self, wait: float, call: Callable[..., Any], *args: Any) -> None:
+        self.cluster.scheduler.after(wait, call, *args)
+
+
+def check(answer: Any, layouts: dict[int, set[str]]) -> Truth:
+    """Compare an answer with what its rows say they were served from."""
+    snapshot = answer['snapshot']
+    claimed = answer['coverage']
+    shards = layouts[snapshot['layout']]
+    served = {row['shard'] for row in answer['rows']}
+    expected = f'{snapshot["layout"]}.{snapshot["version"]}'
+    faults = dict(_faults(answer, claimed, shards, served))
+    mixed = [
+        row
+        for row in answer['rows']
+        if row['text'] != f'{row["shard"]}@{expected}'
+    ]
+    faults['mixed snapshot'] = bool(mixed)
+    return Truth(
+        tuple(name for name, holds in faults.items() if holds),
+        claimed['covered'] / claimed['total'],
+    )
+
+
+def _faults(
+    answer: Any,
+    claimed: Any,
+    shards: set[str],
+    served: set[str],
+) -> Iterator[tuple[str, bool]]:
+    yield 'wrong total', claimed['total'] != len(shards)
+    yield 'wrong covered', claimed['covered'] != len(served)
+    yield 'wrong missing', set(claimed['missing']) != shards - served
+    yield 'shard twice', len(answer['rows']) != len(served)
+    yield 'unknown shard', not served <= shards
+    complete = claimed['covered'] == claimed['total']
+    yield 'wrong outcome', (answer['outcome'] == 'complete') != complete
+
+
+def _policy() -> ClassPolicy:
+    return ClassPolicy(
+        deadline_ms=DEADLINE_MS,
+        answer='complete',
+        coverage_floor=0.9,
+    )
+
+
+def _run(seed: int, count: int) -> tuple[list[Ask], World]:
+    cluster = make_cluster(SHARDS, seed, SLOTS, _policy())
+    world = World(cluster, seed)
+    load = Load(cluster, RATE, seed)
+    asks: list[Ask] = []
+    while len(asks) < count:
+        asks.extend(load.run(PROGRESS_S))
+        for target in cluster.targets.values():
+            target.runs.clear()
+    cluster.run(DEADLINE_MS / 1000)
+    return asks, world
+
+
+@benchmark('coverage')
+def coverage(seed: int, quick: bool) -> Report:
+    """Count untrue answers, and how much the answers covered."""
+    asks, world = _run(seed, ANSWERS)
+    answers = [ask.answer for ask in asks if ask.status == 200]
+    truths = [check(answer, world.layouts) for answer in answers]
+    faults = [fault for truth in truths for fault in truth.faults]
+    mean = sum(truth.coverage for truth in truths) / len(asks)
+    untrue = sum(1 for truth in truths if truth.faults)
+    return Report(
+        'coverage',
+        seed,
+        {
+            'asked': len(asks),
+            'answers': len(answers),
+            'complete': sum(truth.coverage == 1 for truth in truths),
+            'snapshots': len(
+                {tuple(answer['snapshot'].values()) for answer in answers}
+            ),
+            'faults': {name: faults.count(name) for name in set(faults)},
+        },
+        {},
+        (
+            at_least('answers', len(answers), 50000),
+            at_most('untrue answers', untrue, 0),
+            at_least('mean coverage of all asked', mean, 0.999),
+        ),
+    )
--- /dev/null
+++ b/benchmarks/overload.py
@@ -0,0 +1,160 @@
+"""Twice the capacity: goodput, limits of the targets, fairness of tenants."""
+
+from collections import Counter
+from collections.abc import Sequence
+from typing import Any, NamedTuple
+
+from benchmarks.query_load import (
+    HELD_S,
+    Load,
+    entries,
+    make_cluster,
+    slots_of,
+)
+from benchmarks.report import Report, at_least, at_most, benchmark
+from rosemaryweir.query.limit import MOST
+from rosemaryweir.query.service import QueryService
+from rosemaryweir.schema.generated.config import ClassPolicy, Tenant
+from rosemaryweir.testing import Ask, Cluster
+
+__all__ = ['overload']
+
+SHARDS = 10
+SLOTS = 3
+OVERLOAD = 2.0
+PROBE_SHARE = 1.0
+#: Tenants by the share of the requests that they send; all weigh the same.
+TENANTS = ('loud', 'loud', 'loud', 'loud', 'loud', 'loud', 'soft', 'quiet')
+WARM_S = 1.0
+MEASURED_S = 12.0
+MEASURED_QUICK_S = 3.0
+BASELINE_S = 0.3
+SETTLE_S = 1.2
+STARVED_SHARE = 0.5
+
+
+class Overload(NamedTuple):
+    """What one run showed; rates in queries a second."""
+
+    offered: float
+    goodput: float
+    peak_to_slots: float
+    extra: float
+    runs: float
+    refused: dict[str, int]
+    least_tenant: float
+
+
+def unlimited(part: QueryService) -> None:
+    """Let the entry admit everything."""
+    for lane in part.lanes.values():
+        lane.admission.limit.most = MOST
+
+
+def _make(seed: int) -> Cluster:
+    policy = ClassPolicy(
+        deadline_ms=1000,
+        answer='complete',
+        coverage_floor=0.99,
+    )
+    cluster = make_cluster(SHARDS, seed, SLOTS, policy)
+    cluster.config['tenants'] = {
+        name: Tenant(weight=1) for name in set(TENANTS)
+    }
+    return cluster
+
+
+def capacity(cluster: Cluster) -> float:
+    """Return the queries a second for which there are slots.
+
+    A slot is held for the service time and the way there and back.
+    """
+    return slots_of(cluster) / (HELD_S * SHARDS)
+
+
+def run_one(seed: int, seconds: float, admit_all: bool) -> Overload:
+    """Run the load once."""
+    cluster = _make(seed)
+    bound = capacity(cluster)
+    load = Load(cluster, bound * 0.5, seed, TENANTS)
+    load.run(WARM_S / 2)
+    load.rate = bound * OVERLOAD
+    if admit_all:
+        for part in entries(cluster):
+            unlimited(part)
+    load.run(WARM_S)
+    before = _counts(cluster)
+    asks = load.run(seconds)
+    counts = [
+        after - then
+        for after, then in zip(_counts(cluster), before, strict=True)
+    ]
+    cluster.run(SETTLE_S)
+    good = [ask for ask in asks if _is_good(ask)]
+    reasons = Counter(
+        ask.answer['reason'] for ask in asks if ask.status not in {0, 200}
+    )
+    return Overload(
+        len(asks) / seconds,
+        len(good) / seconds,
+        max(
+            target.peak / target.spec.slots
+            for target in cluster.targets.values()
+        ),
+        counts[1] / counts[0],
+        counts[2] / counts[0],
+        dict(reasons),
+        _least_tenant(asks, good),
+    )
+
+
+def _least_tenant(asks: Sequence[Ask], good: Sequence[Ask]) -> float:
+    """Return the least share of what was due that a tenant got.
+
+    Due is the smaller of what it asked for and an equal part.
+    """
+    asked = Counter(ask.body['tenant'] for ask in asks)
+    got = Counter(ask.body['tenant'] for ask in good)
+    part = len(good) / len(asked)
+    return min(got[name] / min(asked[name], part) for name in asked)
+
+
+def _is_good(ask: Ask) -> bool:
+    return ask.status == 200 and ask.answer['outcome'] == 'complete'
+
+
+def _counts(cluster: Cluster) -> tuple[int, int, int]:
+    parts = list(entries(cluster))
+    return (
+        sum(part.runner.first for part in parts),
+        sum(part.runner.extra for part in parts),
+        sum(len(target.runs) for target in cluster.targets.values()),
+    )
+
+
+def _figures(result: Overload) -> dict[str, Any]:
+    return {
+        name: round(value, 4) if isinstance(value, float) else value
+        for name, value in result._asdict().items()
+    }
+
+
+@benchmark('overload')
+def overload(seed: int, quick: bool) -> Report:
+    """Offer twice the capacity, with and without admission."""
+    seconds = MEASURED_QUICK_S if quick else MEASURED_S
+    bound = capacity(_make(seed))
+    mine = run_one(seed, seconds, admit_all=False)
+    base = run_one(seed, BASELINE_S, admit_all=True)
+    return Report(
+        'overload',
+        seed,
+        {'capacity': round(bound, 1)} | _figures(mine),
+        {'no_admission': _figures(base)},
+        (
+            at_least('goodput to capacity', mine.goodput / bound, 0.9),
+            at_most('peak in flight to slots', mine.peak_to_slots, 1),
+            at_most('extra attempts that ran', mine.runs - 1, 0.01),
+            at_least('least tenant', mine.least_tenant, STARVED_SHARE),
+        ),
+    )
--- a/benchmarks/query_load.py
+++ b/benchmarks/query_load.py
@@ -16,6 +16,7 @@
 )
 
 __all__ = [
+    'HELD_S',
     'MEAN_S',
     'SERVICE',
     'Load',
@@ -28,6 +29,9 @@
 SERVICE = 'find'
 #: Mean service time of targets whose median is 10 ms, in seconds.
 MEAN_S = 0.0122
+#: Mean time for which a slot is held: the service, and the way of the request
+#: and of the reply, in seconds.
+HELD_S = 0.0132
 DOMAINS = ('a', 'b', 'c')
 VMS = 6
 #: Time after which new leaves use their targets, in seconds.
--- a/rosemaryweir/query/limit.py
+++ b/rosemaryweir/query/limit.py
@@ -11,6 +11,10 @@
 IN_USE = 0.8
 #: A query that takes this share of its time means congestion.
 SLOW_SHARE = 0.4
+#: Latencies of this multiple of the least one tell of queues.
+QUEUED_FOLD = 2
+#: By this share the least latency rises towards the present one.
+DRIFT = 0.0005
 #: Weight of a new latency in the running mean.
 NEW_SHARE = 0.1
 FIRST_LATENCY_S = 0.05
@@ -19,9 +23,10 @@
 class ConcurrencyLimit:
     """Queries in flight, and how many may be.
 
-    Additive increase while it is used and queries end in good time,
+    Additive increase while it is used (or lower than at the start) and
+    queries end in good time,
     multiplicative decrease at most once for each latency when they are slow or
-    refused.
+    refused, or when latencies tell of queues.
 
     Examples
     --------
@@ -37,6 +42,8 @@
         self.most = float(FIRST_LIMIT)
         self.latency = FIRST_LATENCY_S
         self._decreased = 0.0
+        self._bulk = 0.0
+        self._base = float('inf')
 
     def open(self) -> bool:
         """Return whether one more query may start."""
@@ -77,9 +84,22 @@
         used = self.in_flight >= IN_USE * self.most
         self.in_flight -= 1
         self.latency += (took - self.latency) * NEW_SHARE
-        if refused or bulk > SLOW_SHARE * given:
+        self._follow(bulk)
+        queued = self._bulk > QUEUED_FOLD * self._base
+        if refused or queued or bulk > SLOW_SHARE * given:
             if now - self._decreased > self.latency:
                 self._decreased = now
                 self.most = max(LEAST, self.most * DECREASE)
-        elif used:
+        elif used or self.most < FIRST_LIMIT:
             self.most = min(MOST, self.most + 1 / self.most)
+
+    def _follow(self, bulk: float) -> None:
+        """Follow the present latency, and the least that it has been."""
+        if not bulk:
+            return
+        share = NEW_SHARE if self._bulk else 1
+        self._bulk += (bulk - self._bulk) * share
+        if self._bulk < self._base:
+            self._base = self._bulk
+        else:
+            self._base += (self._bulk - self._base) * DRIFT
--- a/rosemaryweir/query/service.py
+++ b/rosemaryweir/query/service.py
@@ -247,7 +247,7 @@
             took,
             query.bulk,
             asked.deadlines.early - asked.arrived,
-            query.refused > REFUSED_SHARE * len(query.plan.shards),
+            query.refused > max(1, REFUSED_SHARE * len(query.plan.shards)),
             now,
         )
         reply = self._reply(query)
--- a/rosemaryweir/targets/warmth.py
+++ b/rosemaryweir/targets/warmth.py
@@ -25,7 +25,7 @@
 CONFIRMED = 5.0
 #: So many replies that take less than this share of the mean clear a target.
 FAST_RATIO = 0.85
-FAST_MIN = 2
+FAST_MIN = 1
 #: Replies before a history can be compared with.
 HISTORY_MIN = 8
 #: A target as slow as ever after so many times ``warm_after`` replies is
