Hedges also go where the queue is less than half as long

Cause: pieces stuck at a target whose limit had dropped were hedged only when the other replica had a free slot, after 110 ms in traces of `tail`. Change: a hedge is also worth it when it has less than half as much before it.

--- a/rosemaryweir/query/runner.py
+++ b/rosemaryweir/query/runner.py
@@ -319,9 +319,9 @@
 
     def _hedge_one(self, query: Running, wanted: Wanted, now: float) -> None:
         replica = self._other(query, wanted, now)
-        # A hedge that has to wait runs at the same time as the first attempt
-        # and only takes capacity from the shard, unless that is at a straggler.
-        if replica is None or not (replica.sight.has_room or wanted.on_trial):
+        if replica is None or not (
+            wanted.on_trial or _quicker(replica, wanted)
+        ):
             return
         if query.hedging.budget.spend():
             self.extra += 1
@@ -352,3 +352,14 @@
             attempt.replica.sight.at_least(now - attempt.sent, slow, now)
             query.outbox.cancel(attempt)
         wanted.open.clear()
+
+
+def _quicker(replica: Replica, wanted: Wanted) -> bool:
+    """Return whether a hedge would run well before the last attempt.
+
+    One that has to wait as long runs beside the first attempt and only takes
+    capacity from the shard.
+    """
+    here = replica.sight
+    there = wanted.open[-1].replica.sight
+    return here.has_room or 2 * (here.pending + 1) <= there.pending + 1
