--- a/rosemaryweir/targets/dispatcher.py
+++ b/rosemaryweir/targets/dispatcher.py
@@ -74,8 +74,14 @@
     def submit(self, account: Account, work: Work, now: float) -> None:
         """Send an attempt, let it wait, or refuse it."""
         refusal = self.gate.refusal(account.name, now)
-        if not refusal and not account.makes_it(work, now):
-            refusal = 'shed'
+        if not refusal:
+            conn = self._conn_at_once(account, work, now)
+            if conn is not None:
+                self.works[work.attempt] = work
+                self._send(account, conn, work, now)
+                return
+            if not account.makes_it(work, now):
+                refusal = 'shed'
         if refusal:
             self.settle(work, Outcome(refusal, 'no'), now)
             return
@@ -180,6 +186,21 @@
         self._finish(work, _outcome(reply), now)
         return True
 
+    def _conn_at_once(
+        self,
+        account: Account,
+        work: Work,
+        now: float,
+    ) -> Conn | None:
+        """Return a connection on which an attempt can go without waiting."""
+        late = work.deadline <= now
+        if late or account.queue or not account.has_room(now):
+            return None
+        conn = account.pool.idle()
+        if conn is None or work.kind == 'query':
+            return conn
+        return conn if conn.alive_at >= now - PROVEN_WITHIN else None
+
     def _idle_conn(
         self,
         account: Account,
--- a/rosemaryweir/targets/service.py
+++ b/rosemaryweir/targets/service.py
@@ -166,6 +166,8 @@
     @handles(PeerMessage, 'viewed')
     def viewed(self, event: PeerMessage, now: float) -> Iterable[Action]:
         """Adopt views, and learn since when targets may be taken over."""
+        for newer in event.message['views']:
+            self.state.take_view(newer)
         self._follow(now)
         told = {view['domain']: view for view in event.message['views']}
         for domain, wait in event.message['takeover'].items():
