Orders: a request given up, or older than one refused, is not sent

Change: an order whose callers hung up before it left is withdrawn; a released key goes only to a request that arrived no earlier than the one released, any older one is refused as `conflict`, not run. Conclusion: the order of arrival is by wall clocks of the VMs; with a clock ahead by more than the caller's pause between tries the older request could still run.

--- a/rosemaryweir/orders/answer.py
+++ b/rosemaryweir/orders/answer.py
@@ -18,6 +18,7 @@
     'deadline',
     'fenced',
     'store_down',
+    'conflict',
     'mismatch',
     'expired',
     'no_capacity',
@@ -29,12 +30,20 @@
     'deadline': 504,
     'fenced': 503,
     'store_down': 503,
+    'conflict': 409,
     'mismatch': 409,
     'expired': 410,
     'no_capacity': 503,
 }
 TRANSIENT = frozenset(
-    ('overloaded', 'deadline', 'fenced', 'store_down', 'no_capacity'),
+    (
+        'overloaded',
+        'deadline',
+        'fenced',
+        'store_down',
+        'conflict',
+        'no_capacity',
+    ),
 )
 
 
--- a/rosemaryweir/orders/book.py
+++ b/rosemaryweir/orders/book.py
@@ -55,9 +55,10 @@
                 # Its callers hung up, so that it may wait longer.
                 self.set_timer(order)
 
-    def forget_caller(self, req: int) -> None:
-        """Let the order of a caller that hung up go on without it."""
+    def forget_caller(self, req: int) -> Order | None:
+        """Let a request wait no longer; return its order."""
         for order in self._orders.values():
             if req in order.waiters:
                 order.waiters.remove(req)
-                return
+                return order
+        return None
--- a/rosemaryweir/orders/bucket.py
+++ b/rosemaryweir/orders/bucket.py
@@ -127,9 +127,9 @@
 
     Notes
     -----
-    A claim holds if its key is new, or was released (it never ran), or has
-    this very attempt already: then an earlier write took effect although its
-    reply was lost.
+    A claim holds if its key is new, or was released (it never ran) by a
+    request that came no later, or has this very attempt already: then an
+    earlier write took effect although its reply was lost.
     """
     records = dict(bucket['records'])
     for update in updates:
@@ -215,4 +215,14 @@
     if found['attempt'] == claim.attempt:
         return False
     released = found['state'] == 'released'
-    return released and found['digest'] == claim.record['digest']
+    same = found['digest'] == claim.record['digest']
+    return released and same and _later(claim, found)
+
+
+def _later(claim: Claim, released: OrderRecord) -> bool:
+    """Return whether a request came after one that was told `not_run`.
+
+    An older one may have been given up by its caller: were it sent now, what
+    the caller was told since would be untrue.
+    """
+    return claim.record['claimed_at'] >= released['claimed_at']
--- a/rosemaryweir/orders/desk.py
+++ b/rosemaryweir/orders/desk.py
@@ -109,6 +109,19 @@
         self.book.add(order)
         self.logs.claim(order.claim, now)
 
+    def forget_caller(self, req: int, now: float) -> Actions:
+        """Drop an order whose callers hung up before it was sent.
+
+        One that was sent goes on, and its outcome is recorded.
+        """
+        order = self.book.forget_caller(req)
+        if order is None or order.waiters:
+            return
+        if order.state in {'claiming', 'following'}:
+            self.logs.withdraw(order.claim, now)
+            denial = Denial('deadline', 'not_run', 'the caller hung up')
+            yield from self._refuse(order, denial)
+
     def settle(self, outcome: Outcome, now: float) -> Actions:
         """Carry out what follows from the store, and start what is due."""
         yield from outcome.actions
@@ -194,6 +207,9 @@
         record = verdict.record
         if record is None or record['digest'] != order.spec.digest:
             yield from self._refuse(order, _mismatch())
+        elif record['state'] == 'released':
+            denial = Denial('conflict', 'not_run', 'a later try was refused')
+            yield from self._refuse(order, denial)
         elif record['state'] != 'claimed':
             yield from self._repeat(
                 order, Conclusion(record['state'], record['reply'])
--- a/rosemaryweir/orders/service.py
+++ b/rosemaryweir/orders/service.py
@@ -1,6 +1,6 @@
 """The part of an entry that takes orders: each runs at most once."""
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 from random import Random
 from typing import Any
 
@@ -47,10 +47,10 @@
         yield from self.desk.logs.start_due(now)
 
     @handles(CallerGone)
-    def forget_caller(self, event: CallerGone, now: float) -> Iterable[Action]:
-        """Let the order of a caller that hung up go on without it."""
-        self.desk.book.forget_caller(event.req)
-        return ()
+    def forget_caller(self, event: CallerGone, now: float) -> Iterator[Action]:
+        """Drop an order whose callers hung up before it was sent."""
+        yield from self.desk.forget_caller(event.req, now)
+        yield from self.desk.logs.start_due(now)
 
     @handles(StoreReply, TOPIC)
     def store_replied(self, event: StoreReply, now: float) -> Iterator[Action]:
--- a/rosemaryweir/orders/tests/test_service.py
+++ b/rosemaryweir/orders/tests/test_service.py
@@ -275,6 +275,32 @@
     assert rig.records()['k1']['state'] == 'done'
 
 
+def test_hanging_up_before_the_send_stops_an_order():
+    rig = Rig()
+    req = rig.ask('vm-000')
+    rig.answer_store()
+    rig.give('vm-000', CallerGone(req))
+    rig.answer_store()
+    assert not rig.sends
+    rig.settle(2)
+    assert rig.records()['k1']['state'] == 'released'
+
+
+def test_an_older_request_does_not_run_after_a_later_one_was_not_run():
+    rig = Rig()
+    older = rig.ask('vm-000', deadline_ms=5000)
+    rig.pass_time(0.1)
+    later = rig.ask('vm-001')
+    rig.answer_store(1)
+    rig.answer_store(1)
+    while rig.sends:
+        rig.answer_send(outcome='refused')
+    assert rig.said(later) == ('no_capacity', 'not_run')
+    rig.settle(3)
+    assert rig.said(older) == ('conflict', 'not_run')
+    assert not rig.runs
+
+
 def test_an_order_without_callers_or_answer_ends():
     rig = Rig()
     req = claimed(rig)
