--- a/benchmarks/faults/page.py
+++ b/benchmarks/faults/page.py
@@ -1,7 +1,7 @@
 """Make ``docs/FAULTS.md`` from the output of the matrix.
 
 ``python -m benchmarks matrix --json | python -m benchmarks.faults.page``
-prints the page.
+prints the page; words after the command become a note on the run.
 """
 
 import json
@@ -26,11 +26,12 @@
 """
 
 
-def page(report: dict[str, Any]) -> str:
-    """Return the page for a report of the matrix."""
+def page(report: dict[str, Any], note: tuple[str, ...] = ()) -> str:
+    """Return the page for a report of the matrix, under a note on it."""
     return '\n'.join(
         (
             HEAD,
+            *note,
             *_summary(report),
             '',
             *_table(report['figures']),
@@ -113,7 +114,8 @@
 def main() -> None:
     """Read a report from the standard input, print the page."""
     report = json.loads(sys.stdin.read().splitlines()[-1])
-    print(page(report))
+    note = (' '.join(sys.argv[1:]), '') if sys.argv[1:] else ()
+    print(page(report, note))
 
 
 if __name__ == '__main__':
--- a/benchmarks/faults/tests/test_cold_limit.py
+++ b/benchmarks/faults/tests/test_cold_limit.py
@@ -29,7 +29,7 @@
             static=True,
             service_time=steady(0.01),
         )
-        (self.target,) = self.cluster.targets.values()
+        self.target = next(iter(self.cluster.targets.values()))
         self.asked = 0
         self.cluster.run(3)
 
@@ -46,7 +46,7 @@
         self.cluster.run(wait)
 
 
-def test_an_order_past_its_deadline_still_holds_its_slot():
+def test_an_overdue_order_holds_its_slot():
     bench = Bench()
     bench.target.factor = 100.0
     bench.order(1.0, deadline_ms=300)
@@ -55,7 +55,7 @@
     assert bench.target.collapses == 0
 
 
-def test_a_target_that_turns_cold_soon_after_it_warmed_is_noticed():
+def test_a_target_cold_soon_after_it_warmed():
     bench = Bench()
     for _ in range(WARM_AFTER + 1):
         bench.order(0.3)
