--- /dev/null
+++ b/benchmarks/membership.py
@@ -0,0 +1,288 @@
+"""Membership: detection, false suspicion and cost at 9, 90 and 900 VMs.
+
+The agents' real nodes run in virtual time, without entries and leaves.  Bytes
+are those of the msgpack encoding; processor time is that of the nodes alone,
+measured on this machine around each event they handle.
+"""
+
+import contextlib
+import math
+import time
+from collections.abc import Iterator
+from random import Random
+from typing import Any, NamedTuple
+
+import msgspec
+
+from benchmarks.report import Report, at_most, benchmark
+from rosemaryweir import compose
+from rosemaryweir.membership.control import control_of
+from rosemaryweir.membership.service import MEMBER_CHANGED
+from rosemaryweir.membership.views import encode_view, view_key
+from rosemaryweir.schema.generated.control import Member
+from rosemaryweir.schema.generated.settings import Settings
+from rosemaryweir.testing.cluster import Cluster
+from rosemaryweir.testing.deployment import HALVORSEN, config_of, vm_settings
+from rosemaryweir.testing.process import static_view
+
+__all__ = ['run']
+
+DESIGN_VMS = 8800
+CORE_SHARE = 0.021
+NODE_BYTES = 9000
+
+#: A lost VM must be out of every view within this time, in seconds: the 3 s
+#: after which new work must have ended, and a round of spreading.
+DETECTED_S = 10.0
+
+GIVEN_UP_S = 30.0
+
+#: A node without evidence starts no new work after this time, in seconds.
+FENCED_S = 3.0
+
+#: Faults that must not make anybody count as dead.
+PAUSED_S = 1.0
+PARTITION_S = 4.0
+LOSS = 0.02
+SETTLE_S = 3.0
+
+#: Size of a heartbeat, for the baseline.
+HEARTBEAT_BYTES = 400
+STEP_S = 0.1
+
+#: Sizes and their virtual seconds: to start, and to be measured quiet.
+SIZES = ((9, 5.0, 10.0), (90, 5.0, 10.0), (900, 5.0, 5.0))
+QUICK_SIZES = ((9, 5.0, 5.0), (30, 5.0, 5.0), (120, 5.0, 4.0))
+
+
+class Meter:
+    """Processor time of the nodes, around each event they handle."""
+
+    def __init__(self, cluster: Cluster) -> None:
+        self.seconds = 0.0
+        self._deliver = cluster.deliver
+        cluster.deliver = self.deliver  # type: ignore[method-assign]
+        self.cluster = cluster
+
+    def deliver(self, process: Any, event: Any) -> None:
+        """Deliver an event and add the time that it took."""
+        began = time.process_time()
+        self._deliver(process, event)
+        self.seconds += time.process_time() - began
+
+
+class Found(NamedTuple):
+    """What one size of fleet showed."""
+
+    vms: int
+    loss_s: float
+    join_s: float
+    fenced_s: float
+    false_deaths: int
+    bytes_per_node_s: float
+    core_share: float
+
+
+def _size(message: Any) -> int:
+    return len(msgspec.msgpack.encode(message))
+
+
+@contextlib.contextmanager
+def _agents_only() -> Iterator[None]:
+    roles = compose.ROLES
+    setattr(compose, 'ROLES', ('agent',))  # noqa: B010
+    try:
+        yield
+    finally:
+        compose.ROLES = roles
+
+
+def _write_views(cluster: Cluster, settings: list[Settings]) -> None:
+    """Begin with the views written, as in a fleet that has long run."""
+    incarnation = cluster.processes[f'{settings[0]["vm"]}/agent']
+    started = incarnation.node.state.uid.incarnation
+    for domain in HALVORSEN.domains:
+        members: list[Member] = [
+            {**member, 'incarnation': started}
+            for member in static_view(domain, settings)['members']
+        ]
+        content = encode_view(domain, members, [])
+        cluster.store.put(view_key(domain), content)
+
+
+def _agents(cluster: Cluster) -> list[Any]:
+    return [
+        process.node
+        for process in cluster.processes.values()
+        if process.alive and not process.paused
+    ]
+
+
+def _time_until(cluster: Cluster, vm: str, listed: bool) -> float:
+    """Return the time until every agent has a view (not) listing a VM."""
+    began = cluster.now
+    while cluster.now < began + GIVEN_UP_S:
+        if all(
+            (node.state.member(vm) is not None) == listed
+            for node in _agents(cluster)
+            if node.state.uid.vm != vm
+        ):
+            return cluster.now - began
+        cluster.run(STEP_S)
+    return GIVEN_UP_S
+
+
+def _deaths(cluster: Cluster, since: float) -> int:
+    """Count how often an agent took a VM for dead."""
+    return sum(
+        logged.event.fields.get('state') == 'dead'
+        for logged in cluster.logs
+        if logged.when >= since and logged.event.number == MEMBER_CHANGED
+    )
+
+
+def _false_deaths(cluster: Cluster, rng: Random) -> int:
+    """Pause VMs for a second, cut two failure domains, lose messages."""
+    since = cluster.now
+    paused = rng.sample(sorted(cluster.processes), 2)
+    cluster.pause(*paused)
+    cluster.run(PAUSED_S)
+    cluster.resume(*paused)
+    cluster.run(2.0)
+    one, other, _ = HALVORSEN.domains
+    cluster.cuts.add(frozenset((one, other)))
+    cluster.run(PARTITION_S)
+    cluster.cuts.clear()
+    cluster.loss = LOSS
+    cluster.run(PARTITION_S)
+    cluster.loss = 0.0
+    cluster.run(2.0)
+    return _deaths(cluster, since)
+
+
+def _isolation(cluster: Cluster) -> float:
+    """Cut a failure domain off; return when its agents are fenced."""
+    domain = HALVORSEN.domains[0]
+    inside = [
+        process
+        for process in cluster.processes.values()
+        if process.settings['domain'] == domain and process.alive
+    ]
+    for other in HALVORSEN.domains[1:]:
+        cluster.cuts.add(frozenset((domain, other)))
+    cluster.store.cut = {process.settings['vm'] for process in inside}
+    began = cluster.now
+    while cluster.now < began + GIVEN_UP_S:
+        permissions = [
+            control_of(process.node.state).permission(
+                cluster.now + process.offset,
+            )
+            for process in inside
+        ]
+        if all(each.reason == 'fenced' for each in permissions):
+            break
+        cluster.run(STEP_S)
+    taken = cluster.now - began
+    cluster.cuts.clear()
+    cluster.store.cut.clear()
+    cluster.run(SETTLE_S)
+    return taken
+
+
+def _measure(
+    vms: int,
+    seed: int,
+    start_s: float,
+    quiet_s: float,
+) -> Found:
+    rng = Random(seed)
+    every = vm_settings(HALVORSEN, vms + 1)
+    with _agents_only():
+        cluster = Cluster(
+            every[:-1],
+            config_of(HALVORSEN),
+            seed,
+            size_of=_size,
+        )
+        _write_views(cluster, every[:-1])
+        meter = Meter(cluster)
+        cluster.run(start_s)
+        sent = sum(cluster.sent_bytes.values())
+        meter.seconds = 0.0
+        cluster.run(quiet_s)
+        # Each message is sent once and received once.
+        moved = 2 * (sum(cluster.sent_bytes.values()) - sent)
+        core = meter.seconds / quiet_s / vms
+        false_deaths = _false_deaths(cluster, rng)
+        cluster.start_vm(every[-1])
+        joined = _time_until(cluster, every[-1]['vm'], listed=True)
+        lost = rng.choice(every[:-1])['vm']
+        cluster.kill_vm(lost)
+        found = _time_until(cluster, lost, listed=False)
+        fenced = _isolation(cluster)
+    return Found(
+        vms,
+        round(found, 2),
+        round(joined, 2),
+        round(fenced, 2),
+        false_deaths,
+        round(moved / quiet_s / vms),
+        round(core, 5),
+    )
+
+
+def _slope(found: list[Found], field: str) -> tuple[float, float]:
+    """Return the rise of a figure for each tenfold size, and its estimate.
+
+    The estimate at the design size goes on along the line through the two
+    largest sizes, over the logarithm of the size.
+    """
+    small, large = found[-2:]
+    rise = (getattr(large, field) - getattr(small, field)) / math.log10(
+        large.vms / small.vms,
+    )
+    ahead = math.log10(DESIGN_VMS / large.vms)
+    estimate = getattr(large, field) + max(0.0, rise) * ahead
+    return round(rise, 5), round(estimate, 5)
+
+
+def _all_to_all(vms: int, message_bytes: float) -> float:
+    """Return bytes a second if each VM sent each other one four times."""
+    return 2 * 4 * (vms - 1) * message_bytes
+
+
+@benchmark('membership')
+def run(seed: int, quick: bool) -> Report:
+    """Measure membership at three sizes."""
+    sizes = QUICK_SIZES if quick else SIZES
+    found = [_measure(vms, seed, start, quiet) for vms, start, quiet in sizes]
+    rise_bytes, bytes_at_design = _slope(found, 'bytes_per_node_s')
+    rise_core, core_at_design = _slope(found, 'core_share')
+    figures = {
+        'by_fleet': [each._asdict() for each in found],
+        'bytes_per_tenfold': rise_bytes,
+        'core_share_per_tenfold': rise_core,
+        'extrapolated_to_8800': {
+            'bytes_per_node_s': bytes_at_design,
+            'core_share': core_at_design,
+        },
+    }
+    baselines = {
+        'bytes_per_node_s_if_all_to_all': {
+            each.vms: round(_all_to_all(each.vms, HEARTBEAT_BYTES))
+            for each in found
+        },
+    }
+    worst = max(each.loss_s for each in found)
+    fenced = max(each.fenced_s for each in found)
+    joins = max(each.join_s for each in found)
+    deaths = sum(each.false_deaths for each in found)
+    checks = (
+        at_most('lost VM out of every view (s)', worst, DETECTED_S),
+        at_most('new VM in every view (s)', joins, DETECTED_S),
+        at_most('isolated failure domain fenced (s)', fenced, FENCED_S),
+        at_most('VMs wrongly taken for dead', deaths, 0),
+        at_most('bytes a second at 8,800', bytes_at_design, NODE_BYTES),
+        at_most('share of a core at 8,800', core_at_design, CORE_SHARE),
+    )
+    return Report('membership', seed, figures, baselines, checks)
--- a/rosemaryweir/membership/service.py
+++ b/rosemaryweir/membership/service.py
@@ -380,15 +380,10 @@
             self._introduced.pop(vm, None)
 
     def _ask_helpers(self, vm: str, now: float) -> Iterator[Action]:
-        peers = [
-            member
-            for member in self.control.roster.peers().values()
-            if member['vm'] != vm and member['state'] == 'alive'
-        ]
         member = self.control.roster.member(vm)
         if member is None:
             return
-        for helper in self.rng.sample(peers, min(HELPERS, len(peers))):
+        for helper in self._helpers(member):
             request = PingReq(
                 kind='ping_req',
                 sequence=0,
@@ -397,6 +392,18 @@
             )
             yield self._send(helper, request, now)
 
+    def _helpers(self, member: Member) -> list[Member]:
+        peers = [
+            peer
+            for peer in self.control.roster.peers().values()
+            if peer['vm'] != member['vm'] and peer['state'] == 'alive'
+        ]
+        # A third failure domain gets round a cut between two.
+        ends = {member['domain'], self.control.domain}
+        third = [peer for peer in peers if peer['domain'] not in ends]
+        drawn = self.rng.sample(third, min(HELPERS, len(third)))
+        return drawn or self.rng.sample(peers, min(HELPERS, len(peers)))
+
     def _help_done(
         self,
         asker: tuple[str, str, int],
