--- a/rosemaryweir/daemons/process.py
+++ b/rosemaryweir/daemons/process.py
@@ -78,8 +78,8 @@
         self.node = Node.from_config(settings, role, incarnation, rng)
         uid = self.node.state.uid
         self._log = EventLog(uid)
-        self._metrics = Metrics(role, settings.get('statsd', ''))
-        self.driver = Driver(self.node, clock, self._log, self._metrics)
+        metrics = Metrics(role, settings.get('statsd', ''))
+        self.driver = Driver(self.node, clock, self._log, metrics)
         post = self.driver.post
         self.peers = PeerPort(uid, post, clock)
         self._store = StoreClient(settings['store'], post)
@@ -104,11 +104,14 @@
         self._log.event(STARTED, used)
         self.driver.start()
 
-    async def run(self) -> int:
-        """Run until the node ends or is told to; return the exit code."""
+    def take_signals(self) -> None:
+        """Let SIGTERM and SIGINT begin a graceful shutdown."""
         loop = asyncio.get_running_loop()
         for name in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(name, self.shutdown)
+
+    async def run(self) -> int:
+        """Run until the node ends or is told to; return the exit code."""
         code = await self.driver.finished
         await self.stop()
         self._log.event(STOPPED, {'code': code})
@@ -136,10 +139,7 @@
             self.driver.finished.set_result(EXIT_CUT)
 
     def _extra_status(self) -> Mapping[str, Any]:
-        return {
-            'histograms': self._metrics.histograms.summaries(),
-            'peers': dict(self.peers.counts),
-        }
+        return {'peers': dict(self.peers.counts)}
 
 
 def read_settings(path: str) -> Settings:
@@ -174,5 +174,8 @@
 
 async def _run(settings: Settings, role: str) -> int:
     process = Process(settings, role)
+    # Before the first address is listened on: whoever sees the process stand
+    # may tell it to end.
+    process.take_signals()
     await process.start()
     return await process.run()
--- a/rosemaryweir/orders/index.py
+++ b/rosemaryweir/orders/index.py
@@ -6,7 +6,9 @@
 of their keys: no key can be claimed in two segments.
 """
 
-from rosemaryweir.orders.bucket import kept_hashes
+from itertools import islice
+
+from rosemaryweir.orders.bucket import kept_hashes, newest_claim
 from rosemaryweir.orders.keys import key_hash
 from rosemaryweir.schema.generated.orders import OrderBucket
 
@@ -22,12 +24,17 @@
         Whether all segments that there were have been read once.
     last : int
         Number of the segment that takes new keys.
+    sealed : dict of int to float
+        Wall time of the newest claim of each sealed segment with records.
     """
 
     def __init__(self) -> None:
         self.loaded = False
         self.last = 0
+        self.sealed: dict[int, float] = {}
         self._segments: dict[int, int] = {}
+        self._learnt: dict[int, int] = {}
+        self._kept: dict[int, str] = {}
 
     def __len__(self) -> int:
         """Return the number of known keys."""
@@ -38,10 +45,27 @@
         return self._segments.get(key_hash(order_key), self.last)
 
     def learn(self, segment: int, bucket: OrderBucket) -> None:
-        """Take in a segment as read or written."""
-        for order_key in bucket['records']:
+        """Take in a segment as read or written.
+
+        Notes
+        -----
+        Records are only ever added at the end, until cleaning drops them all:
+        those that were there the last time need no second look.
+        """
+        records = bucket['records']
+        for order_key in islice(records, self._learnt.get(segment, 0), None):
             self._segments.setdefault(key_hash(order_key), segment)
-        for known_hash in kept_hashes(bucket):
-            self._segments.setdefault(known_hash, segment)
-        if bucket['sealed'] and segment >= self.last:
-            self.last = segment + 1
+        self._learnt[segment] = len(records)
+        if self._kept.get(segment, '') != bucket['kept']:
+            self._kept[segment] = bucket['kept']
+            for known_hash in kept_hashes(bucket):
+                self._segments.setdefault(known_hash, segment)
+        if bucket['sealed']:
+            self.last = max(self.last, segment + 1)
+            self._note_sealed(segment, bucket)
+
+    def _note_sealed(self, segment: int, bucket: OrderBucket) -> None:
+        if bucket['records']:
+            self.sealed[segment] = newest_claim(bucket)
+        else:
+            self.sealed.pop(segment, None)
--- a/rosemaryweir/orders/tests/test_service.py
+++ b/rosemaryweir/orders/tests/test_service.py
@@ -195,6 +195,17 @@
     assert rig.said(req) == ('deadline', 'not_run')
 
 
+def test_a_claim_withdrawn_while_it_is_written_is_released():
+    rig = Rig()
+    req = rig.ask('vm-000', deadline_ms=50)
+    rig.answer_store()
+    rig.pass_time(0.1)
+    assert rig.said(req) == ('deadline', 'not_run')
+    rig.settle(2)
+    assert rig.records()['k1']['state'] == 'released'
+    assert not rig.nodes['vm-000'].busy(rig.now)
+
+
 def test_a_dead_entrys_claim_is_unknown():
     rig = Rig()
     claimed(rig)
@@ -264,6 +275,16 @@
     assert rig.records()['k1']['state'] == 'done'
 
 
+def test_an_order_without_callers_or_answer_ends():
+    rig = Rig()
+    req = claimed(rig)
+    rig.give('vm-000', CallerGone(req))
+    rig.answer_send(outcome='lost')
+    rig.settle(15)
+    assert rig.records()['k1']['state'] == 'unknown'
+    assert not rig.nodes['vm-000'].busy(rig.now)
+
+
 def test_shutdown_waits_for_the_record():
     rig = Rig()
     claimed(rig)
--- a/rosemaryweir/query/runner.py
+++ b/rosemaryweir/query/runner.py
@@ -1,5 +1,6 @@
 """Run queries: scatter, partials, hedges, retries, change of the pin."""
 
+from collections.abc import Callable, Sequence
 from random import Random
 
 from rosemaryweir.node.state import NodeState
@@ -7,8 +8,9 @@
 from rosemaryweir.query.pin import coverable
 from rosemaryweir.query.plan import Fleet, Plan
 from rosemaryweir.query.replica import Replica, choose, choose_other
-from rosemaryweir.query.retry import backoff, elsewhere
+from rosemaryweir.query.retry import backoff, elsewhere, worth_it
 from rosemaryweir.query.running import NEVER, Running, Wanted
+from rosemaryweir.query.sighting import VersionKey
 from rosemaryweir.schema.generated.query import Partial
 
 __all__ = ['Runner']
@@ -23,10 +25,21 @@
 PATIENCE_FOLD = 2
 #: Later hedges of a query follow after this share of the delay.
 NEXT_DELAY_SHARE = 0.5
+#: An attempt at a target on trial is hedged after this share of the delay.
+DOUBT_SHARE = 0.4
+#: Timers of nearly the same time are taken together.
+ALMOST = 0.999
 #: A lost attempt counts as this multiple of the usual latency.
 LOST_FOLD = 3
 #: Outcomes that say that a target lacks capacity.
 REFUSED = frozenset(('shed', 'timeout'))
+#: Outcomes that say that a leaf may not use a target now.
+CLOSED = frozenset(('out', 'not_owner'))
+
+Pick = Callable[
+    [Sequence[Replica], VersionKey, Random, float],
+    Replica | None,
+]
 
 
 class Runner:
@@ -42,6 +55,13 @@
         Attempts in flight.
     rng : random.Random
         The source of chance.
+
+    Attributes
+    ----------
+    pick : callable
+        Chooses the replica of a first attempt.
+    first, extra : int
+        First attempts, and those beyond.
     """
 
     def __init__(
@@ -55,6 +75,7 @@
         self.fleet = fleet
         self.attempts = attempts
         self.rng = rng
+        self.pick: Pick = choose
         self.first = 0
         self.extra = 0
 
@@ -65,7 +86,7 @@
         replicas = query.plan.replicas
         key = query.key
         for shard, wanted in query.wanted.items():
-            replica = choose(replicas[shard], key, self.rng, now)
+            replica = self.pick(replicas[shard], key, self.rng, now)
             if replica is None:
                 self._postpone(wanted, now)
             else:
@@ -73,7 +94,10 @@
         count = len(query.wanted)
         self.first += count
         query.hedging.budget.earn(count)
-        query.hedge_at = now + query.hedging.delay(now)
+        delay = query.hedging.delay(now)
+        if any(each.on_trial for each in query.wanted.values()):
+            delay *= DOUBT_SHARE
+        query.hedge_at = now + delay
 
     def take(
         self,
@@ -138,7 +162,7 @@
         key = (piece['layout'], version)
         sight = attempt.replica.sight
         took = now - attempt.sent
-        sight.took(took, now)
+        sight.took(took, query.hedging.delay(now), now)
         query.hedging.took(took, now)
         query.lane.retries.earn()
         if sight.serves(key):
@@ -169,9 +193,12 @@
             asked = (query.scatter.layout, attempt.version)
             sight.refuses(asked, (piece['layout'], piece['version']), now)
             query.lane.pin(query.scatter.layout).stale = True
+        elif outcome in CLOSED:
+            sight.closes(now)
         elif elsewhere(outcome):
             took = now - attempt.sent
-            sight.took(max(took, LOST_FOLD * sight.latency), now)
+            slow = query.hedging.delay(now)
+            sight.took(max(took, LOST_FOLD * sight.latency), slow, now)
         if outcome in REFUSED:
             query.refused += 1
 
@@ -207,7 +234,11 @@
             replica = self._other(query, wanted, now)
         if replica is None and self._better(query, now):
             return
-        if replica is None or not query.lane.retries.spend():
+        if (
+            replica is None
+            or not worth_it(replica.sight.weight > 1, wanted.rounds)
+            or not query.lane.retries.spend()
+        ):
             self._postpone(wanted, now)
         else:
             self.extra += 1
@@ -263,8 +294,7 @@
             wanted
             for wanted in query.wanted.values()
             if wanted.open
-            and len(wanted.open) < MOST_OPEN
-            and now - wanted.open[-1].sent >= delay * NEXT_DELAY_SHARE
+            and self._late(wanted, delay, now)
             and not self._waits(query, wanted)
         ]
         most = max(HEDGED_LEAST, HEDGED_SHARE * len(query.plan.shards))
@@ -274,13 +304,26 @@
         for wanted in late:
             self._hedge_one(query, wanted, now)
 
+    def _late(self, wanted: Wanted, delay: float, now: float) -> bool:
+        last = wanted.open[-1]
+        count = len(wanted.open)
+        share = 1 if count == 1 else NEXT_DELAY_SHARE
+        if wanted.on_trial:
+            share = DOUBT_SHARE
+        waited = now - last.sent
+        return count < MOST_OPEN and waited >= delay * share * ALMOST
+
     def _waits(self, query: Running, wanted: Wanted) -> bool:
         """Return whether a shard has answered and waits for the pin."""
         return not query.version and wanted.shard not in query.unheard
 
     def _hedge_one(self, query: Running, wanted: Wanted, now: float) -> None:
         replica = self._other(query, wanted, now)
-        if replica is not None and query.hedging.budget.spend():
+        # A hedge that has to wait runs at the same time as the first attempt
+        # and only takes capacity from the shard, unless that is at a straggler.
+        if replica is None or not (replica.sight.has_room or wanted.on_trial):
+            return
+        if query.hedging.budget.spend():
             self.extra += 1
             self._send(query, wanted, replica, now)
 
@@ -302,9 +345,10 @@
         query.outbox.send(attempt)
 
     def _cancel(self, query: Running, wanted: Wanted, now: float) -> None:
+        slow = query.hedging.delay(now)
         for attempt in wanted.open:
             query.ran = True
             self.attempts.settle(attempt)
-            attempt.replica.sight.at_least(now - attempt.sent, now)
+            attempt.replica.sight.at_least(now - attempt.sent, slow, now)
             query.outbox.cancel(attempt)
         wanted.open.clear()
--- a/rosemaryweir/query/sighting.py
+++ b/rosemaryweir/query/sighting.py
@@ -8,9 +8,17 @@
 VersionKey = tuple[int, int]
 
 #: Weight of a new latency in the running mean.
-NEW_SHARE = 0.15
+NEW_SHARE = 0.05
+#: Weight of a new attempt in the share of late ones.
+NEW_LATE_SHARE = 0.2
+#: Share of late attempts from which a target is slow.
+LATE_SHARE = 0.5
 #: Latency assumed of a target that has not answered yet, in seconds.
 UNKNOWN_LATENCY_S = 0.01
+#: How long a target whose leaf may not use it is passed over, in seconds.
+CLOSED_S = 0.25
+#: An attempt given up counts as this multiple of the time waited for it.
+GIVEN_UP_FOLD = 2
 #: How long a refusal of a version that may still arrive holds, in seconds.
 REFUSAL_S = 1
 #: Versions that are remembered for a target.
@@ -25,23 +33,30 @@
     own : int
         Attempts of this entry in flight there.
     reported : int
-        Requests in flight and queued there, as its leaf last said.
+        Requests in flight and queued there, as its leaf last said; a limit
+        below the slots counts as slots in use.
     limit : int
-        Requests that it may run at once, as its leaf last said.
+        Its slots.
     latency : float
         Running mean of the latency, in seconds.
+    late : float
+        Share of the latest attempts that were late.
     samples : int
         Latencies in the mean.
     seen : float
         Time of the last latency.
     weight : float
         Factor on its score; above 1 when it is ejected.
+    closed_until : float
+        Until then it is passed over: its leaf may not use it.
     current : VersionKey
         What it served last.
     """
 
     __slots__ = (
+        'closed_until',
         'current',
+        'late',
         'latency',
         'limit',
         'own',
@@ -63,9 +78,11 @@
         self.reported = 0
         self.reported_at = 0.0
         self.latency = UNKNOWN_LATENCY_S
+        self.late = 0.0
         self.samples = 0
         self.seen = 0.0
         self.weight = 1.0
+        self.closed_until = 0.0
         self.trial = False
         self.current: VersionKey = (0, 0)
         self.served: set[VersionKey] = set()
@@ -76,32 +93,52 @@
         """Requests that stand before the next one."""
         return max(self.own, self.reported)
 
-    def took(self, latency: float, now: float) -> None:
-        """Count the latency of an attempt."""
+    @property
+    def slow(self) -> bool:
+        """Whether most of its latest attempts were late."""
+        return self.late > LATE_SHARE
+
+    @property
+    def has_room(self) -> bool:
+        """Whether another request would run at once."""
+        return self.pending < self.limit
+
+    def took(self, latency: float, slow: float, now: float) -> None:
+        """Count the latency of an attempt.
+
+        It was late if it took longer than `slow`, which nearly all attempts
+        at other targets do not.
+        """
         self.trial = False
         self.seen = now
         self.samples += 1
         share = max(NEW_SHARE, 1 / self.samples)
         self.latency += (latency - self.latency) * share
+        self.late += ((latency > slow) - self.late) * NEW_LATE_SHARE
 
-    def at_least(self, latency: float, now: float) -> None:
+    def at_least(self, latency: float, slow: float, now: float) -> None:
         """Count an attempt that was given up after some time."""
-        if latency > self.latency:
-            self.took(latency, now)
+        if latency > slow or latency > self.latency:
+            self.took(latency * GIVEN_UP_FOLD, slow * GIVEN_UP_FOLD, now)
 
     def forget(self, prior: float) -> None:
         """Forget the latency: the target is tried one attempt at a time."""
         self.latency = prior
+        self.late = min(self.late, LATE_SHARE)
         self.samples = 0
         self.weight = 1
         self.trial = True
 
     def take_load(self, load: Load, now: float) -> None:
         """Take what its leaf says of its load."""
-        self.reported = load['in_flight'] + load['queued']
-        self.limit = max(1, load['limit'])
+        ahead = load['in_flight'] + load['queued'] + 1
+        self.reported = ahead * self.limit // max(1, load['limit']) - 1
         self.reported_at = now
 
+    def closes(self, now: float) -> None:
+        """Take that its leaf may not use it now."""
+        self.closed_until = now + CLOSED_S
+
     def serves(self, key: VersionKey) -> bool:
         """Take that it served a version; return whether that is news."""
         if key == self.current:
--- a/rosemaryweir/targets/account.py
+++ b/rosemaryweir/targets/account.py
@@ -5,6 +5,7 @@
 from rosemaryweir.targets.latency import Latency
 from rosemaryweir.targets.limits import Limits
 from rosemaryweir.targets.queue import WorkQueue, expected_wait
+from rosemaryweir.targets.silence import overdue_after
 from rosemaryweir.targets.slots import Slots
 from rosemaryweir.targets.warmth import Warmth
 from rosemaryweir.targets.work import Work
@@ -108,7 +109,8 @@
             self.allowed,
             self.recent.mean,
         )
-        return now + wait < work.deadline
+        begins = now + wait - self.recent.mean
+        return begins < work.wait_until and now + wait < work.deadline
 
     def answered(self, work: Work, now: float) -> None:
         """Note an answer to an attempt: those sent before are overtaken."""
@@ -131,13 +133,16 @@
         self.slots.lost(work.attempt)
         self.doubtful.pop(work.attempt, None)
 
-    def learn(self, status: str, took: float, verified: bool) -> None:
+    def learn(self, status: str, took: float) -> None:
         """Learn from the status of an answer.
 
-        One that was dropped because it was overdue tells at least how long
-        it would have taken.
+        One that was dropped when it was overdue tells at least how long it
+        would have taken.
         """
-        if status == 'ok' or (status == 'cancelled' and verified):
+        if status == 'cancelled' and took >= overdue_after(self.recent):
+            self.recent.add(took)
+            self.warmth.dropped(took)
+        if status == 'ok':
             self._refusals = 0
             self.recent.add(took)
             self.warmth.served(took)
@@ -159,6 +164,14 @@
             self.warmth.chilled()
         return known
 
+    def crowding(self, now: float) -> int:
+        """Return how many requests would crowd the target as much, if warm.
+
+        Nothing is 0; a limit below the slots counts as slots in use.
+        """
+        ahead = self.slots.held(now) + len(self.queue) + 1
+        return ahead * self.limits.slots // max(1, self.allowed) - 1
+
     def load(self, now: float) -> Load:
         """Return what an entry is told of the target."""
         return Load(
