--- /dev/null
+++ b/benchmarks/rolling.py
@@ -0,0 +1,272 @@
+"""Rolling replacement: every VM of a deployment is replaced under load.
+
+Callers ask the directory which VM to use, keep the answer for its time to
+live and send queries and orders there.  One VM after another gets a
+successor of another name and address and is then asked to leave.  The
+baseline ends the VMs at once instead.
+"""
+
+from collections import Counter
+from random import Random
+from typing import Any, NamedTuple
+
+from benchmarks.report import Report, at_least, at_most, benchmark
+from rosemaryweir.schema.generated.settings import Settings
+from rosemaryweir.testing.cluster import Cluster
+from rosemaryweir.testing.deployment import (
+    HALVORSEN,
+    config_of,
+    note_of,
+    vm_settings,
+)
+from rosemaryweir.testing.process import Ask
+
+__all__ = ['run']
+
+VMS = 9
+CALLERS = 12
+START_S = 6.0
+BEFORE_S = 10.0
+JOIN_S = 3.0
+EXIT_LIMIT_S = 40.0
+END_S = 10.0
+ORDER_SHARE = 0.2
+STEP_S = 0.25
+
+#: Pause between two requests of one caller, in seconds.
+PAUSE_S = 0.5
+QUICK_PAUSE_S = 1.0
+
+#: A request without answer after this time counts as lost, in seconds.
+LOST_S = 8.0
+
+#: Most that the p99 may rise over that before the replacement.
+P99_RISE = 2.0
+MS_PER_S = 1000
+
+
+class Caller:
+    """One caller: keeps a directory answer, sends one request at a time."""
+
+    def __init__(self, name: str, tier: 'Tier', rng: Random) -> None:
+        self.name = name
+        self.tier = tier
+        self.rng = rng
+        self.use: list[str] = []
+        self.until = 0.0
+        self.sent = 0
+
+    def turn(self) -> None:
+        """Send a request, or ask the directory first."""
+        cluster = self.tier.cluster
+        if cluster.now < self.until:
+            self._request()
+            return
+        vm = self.use[0] if self.use else self.rng.choice(self.tier.running())
+        self.tier.ask(vm, 'directory', {}, self._take_directory)
+
+    def _take_directory(self, ask: Ask) -> None:
+        if ask.status == 200:
+            self.use = [entry['vm'] for entry in ask.answer['use']]
+            ttl = ask.answer['ttl_ms'] / MS_PER_S
+            self.until = self.tier.cluster.now + ttl
+            self._request()
+            return
+        # The answer is no use: another VM is asked at the next turn.
+        self.use = self.use[1:]
+        self._later()
+
+    def _request(self) -> None:
+        self.sent += 1
+        vm = self.use[0]
+        if self.rng.random() < ORDER_SHARE:
+            body = {
+                'service': 'print-orders',
+                'order_key': f'{self.name}-{self.sent}',
+                'body': 'one pallet',
+            }
+            self.tier.ask(vm, 'order', body, self._done)
+            return
+        body = {'service': 'patrol-desk', 'query': 'permit', 'class': 'street'}
+        self.tier.ask(vm, 'query', body, self._done)
+
+    def _done(self, ask: Ask) -> None:
+        if ask.status != 200:
+            self.until = 0.0
+            self.use = self.use[1:]
+        self._later()
+
+    def _later(self) -> None:
+        pause = self.tier.pause * self.rng.uniform(0.5, 1.5)
+        self.tier.cluster.scheduler.after(pause, self.turn)
+
+
+class Result(NamedTuple):
+    """What callers saw."""
+
+    answered: int
+    refused: dict[str, int]
+    cut: int
+    lost: int
+    doubled: int
+    p99_before_ms: float
+    p99_during_ms: float
+    bad_exits: int
+    longest_exit_s: float
+
+
+class Tier:
+    """A deployment under the load of its callers."""
+
+    def __init__(self, seed: int, pause: float) -> None:
+        self.rng = Random(seed)
+        self.pause = pause
+        self.settings = vm_settings(HALVORSEN, 2 * VMS)
+        self.cluster = Cluster(
+            self.settings[:VMS],
+            config_of(HALVORSEN),
+            seed,
+        )
+        self.began = 0.0
+        self.asks: list[Ask] = []
+        self.cluster.run(START_S)
+        note = note_of(HALVORSEN)
+        self.cluster.ask('vm-000', 'note', note, role='agent')
+        self.cluster.run(START_S)
+
+    def running(self) -> list[str]:
+        """Return the VMs whose entry runs."""
+        return [
+            process.settings['vm']
+            for process in self.cluster.processes.values()
+            if process.name.endswith('/entry') and process.alive
+        ]
+
+    def ask(self, vm: str, topic: str, body: Any, then: Any) -> None:
+        """Send a request of a caller."""
+        ask = self.cluster.ask(vm, topic, body, on_answer=then)
+        self.asks.append(ask)
+
+    def replace_all(self, gracefully: bool) -> tuple[int, float]:
+        """Replace every VM; return bad exits and the longest exit."""
+        for number in range(CALLERS):
+            caller = Caller(f'c{number}', self, Random(self.rng.random()))
+            offset = self.rng.random()
+            self.cluster.scheduler.after(offset, caller.turn)
+        self.cluster.run(BEFORE_S)
+        self.began = self.cluster.now
+        took = [
+            self._replace(old, new, gracefully)
+            for old, new in zip(
+                self.settings[:VMS],
+                self.settings[VMS:],
+                strict=True,
+            )
+        ]
+        self.cluster.run(END_S)
+        exits = [
+            process.exit_code
+            for process in self.cluster.processes.values()
+            if process.settings in self.settings[:VMS]
+        ]
+        return sum(code != 0 for code in exits), max(took)
+
+    def result(self, bad_exits: int, longest: float) -> Result:
+        """Return what the callers saw."""
+        work = [ask for ask in self.asks if ask.topic in {'query', 'order'}]
+        done = [ask for ask in work if ask.status == 200]
+        refused = Counter(
+            ask.answer['reason'] for ask in work if ask.status not in {0, 200}
+        )
+        old = self.cluster.now - LOST_S
+        return Result(
+            len(done),
+            dict(refused),
+            sum(ask.cut for ask in self.asks),
+            sum(
+                not (ask.cut or ask.status) and ask.asked < old
+                for ask in self.asks
+            ),
+            self._doubled(),
+            _p99([ask for ask in done if ask.asked < self.began]),
+            _p99([ask for ask in done if ask.asked >= self.began]),
+            bad_exits,
+            round(longest, 1),
+        )
+
+    def _replace(
+        self,
+        old: Settings,
+        new: Settings,
+        gracefully: bool,
+    ) -> float:
+        cluster = self.cluster
+        cluster.start_vm(new)
+        cluster.store.live = (*cluster.store.live, new['vm'])
+        cluster.run(JOIN_S)
+        began = cluster.now
+        if gracefully:
+            cluster.shutdown_vm(old['vm'])
+        else:
+            cluster.kill_vm(old['vm'])
+        while cluster.now < began + EXIT_LIMIT_S and self._runs(old['vm']):
+            cluster.run(STEP_S)
+        taken = cluster.now - began
+        cluster.store.live = tuple(
+            vm for vm in cluster.store.live if vm != old['vm']
+        )
+        cluster.run(JOIN_S)
+        return taken
+
+    def _runs(self, vm: str) -> bool:
+        return any(
+            process.alive
+            for process in self.cluster.processes.values()
+            if process.settings['vm'] == vm
+        )
+
+    def _doubled(self) -> int:
+        runs = Counter(
+            run.subject
+            for target in self.cluster.targets.values()
+            for run in target.runs
+            if run.work == 'order'
+        )
+        return sum(count > 1 for count in runs.values())
+
+
+def _p99(asks: list[Ask]) -> float:
+    took = sorted(ask.answered - ask.asked for ask in asks)
+    if not took:
+        return float('inf')
+    return round(took[int(0.99 * (len(took) - 1))] * MS_PER_S, 1)
+
+
+def _run_tier(seed: int, pause: float, gracefully: bool) -> Result:
+    tier = Tier(seed, pause)
+    bad_exits, longest = tier.replace_all(gracefully)
+    return tier.result(bad_exits, longest)
+
+
+@benchmark('rolling')
+def run(seed: int, quick: bool) -> Report:
+    """Replace every VM under load, gracefully and at once."""
+    pause = QUICK_PAUSE_S if quick else PAUSE_S
+    found = _run_tier(seed, pause, gracefully=True)
+    at_once = _run_tier(seed, pause, gracefully=False)
+    rise = found.p99_during_ms / found.p99_before_ms
+    checks = (
+        at_most('requests cut', found.cut, 0),
+        at_most('requests lost', found.lost, 0),
+        at_most('orders doubled', found.doubled, 0),
+        at_most('processes that did not exit 0', found.bad_exits, 0),
+        at_least('requests answered', found.answered, 100),
+        at_most('p99 during over p99 before', rise, P99_RISE),
+    )
+    return Report(
+        'rolling',
+        seed,
+        {'graceful': found._asdict()},
+        {'ended_at_once': at_once._asdict()},
+        checks,
+    )
