Suspensions end everywhere; a fast succession in the lease test

An intent that a read of the store showed not to be written was settled on the VMs that watch and nowhere else: the others kept the failure domain suspended for good (test_suspension_ends_when_the_note_was_not_written). They are told now, and a VM with a suspension reads the head itself.

--- a/rosemaryweir/config/intents.py
+++ b/rosemaryweir/config/intents.py
@@ -75,8 +75,8 @@
         for note in decided:
             self.settle(note)
 
-    def settle_unwritten(self, generation: int, read: float) -> None:
-        """Settle what a read of the store shows not to be written.
+    def settle_unwritten(self, generation: int, read: float) -> list[str]:
+        """Settle and return what a read of the store shows not to be written.
 
         Parameters
         ----------
@@ -98,6 +98,7 @@
         ]
         for note in decided:
             self.settle(note)
+        return decided
 
     def suspended(self, now: float) -> list[str]:
         """Return the failure domains suspended by unsettled intents."""
--- a/rosemaryweir/config/note_service.py
+++ b/rosemaryweir/config/note_service.py
@@ -114,6 +114,8 @@
     def next_wake(self) -> float | None:
         """Return the time of the next step of the note under way."""
         writer = self._writer
+        if self.control.unwritten:
+            return 0.0
         if writer is None:
             return None
         waits = [writer.next_wake()]
@@ -126,7 +128,11 @@
         return min((wait for wait in waits if wait is not None), default=None)
 
     def wake(self, now: float) -> Iterator[Action]:
-        """Go on with the note under way."""
+        """Go on with the note under way; pass on what is settled."""
+        while self.control.unwritten:
+            note = self.control.unwritten.pop()
+            message = Settled(kind='settled', note=note, generation=0)
+            yield from self._pass_settled(message, now)
         writer = self._writer
         if writer is None:
             return
--- a/rosemaryweir/config/service.py
+++ b/rosemaryweir/config/service.py
@@ -119,10 +119,11 @@
         if call.subject == HEAD_KEY:
             yield from self._take_heads(event.objects, now)
             self.control.fence.store_contact(HEAD, call.sent)
-            self.control.intents.settle_unwritten(
+            unwritten = self.control.intents.settle_unwritten(
                 self.control.told,
                 call.sent,
             )
+            self.control.unwritten.extend(unwritten)
         else:
             yield from self._take_chunk(event, now)
 
@@ -260,7 +261,8 @@
         pause = POLL_S if watches else max(POLL_S, size / FALLBACK_RATE)
         self._due = now + pause
         stale = self.control.fence.age(HEAD, now) > STALE_S
-        if (watches or stale) and len(self._calls) < OUTSTANDING:
+        unsettled = bool(self.control.intents.suspended(now))
+        if (watches or stale or unsettled) and len(self._calls) < OUTSTANDING:
             yield StoreGet(self._calls.start(HEAD_KEY, now), HEAD_KEY)
         yield from self._keep_watch(watches)
 
--- a/rosemaryweir/membership/control.py
+++ b/rosemaryweir/membership/control.py
@@ -50,6 +50,8 @@
         Whether others should be told of a change at once.
     accepted : list of Config
         Configurations that a note written here has made.
+    unwritten : list of str
+        Intents that turned out not to be written; others are to be told.
     """
 
     def __init__(self, state: NodeState) -> None:
@@ -65,6 +67,7 @@
         self.departed = False
         self.urgent = False
         self.accepted: list[Config] = []
+        self.unwritten: list[str] = []
         self._own_domains = [state.settings['domain']]
         self._counted_at = 0.0
         self.pulse = _first_pulse(state)
--- a/rosemaryweir/membership/tests/test_lease_machine.py
+++ b/rosemaryweir/membership/tests/test_lease_machine.py
@@ -1,6 +1,7 @@
 """Old and new owner are never both valid, whatever fails."""
 
 import hypothesis.strategies as st
+import pytest
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
@@ -56,6 +57,11 @@
         self.cluster.store.cut.clear()
         self.holders.run(1)
 
+    @rule(place=PLACES)
+    def isolate_while_another_joins(self, place):
+        isolate_and_join(self.cluster, self.settings[place])
+        self.holders.run(4, step=0.02)
+
     @rule(places=st.sets(PLACES, max_size=6))
     def cut_from_store(self, places):
         vms = {self.settings[place]['vm'] for place in places}
@@ -94,6 +100,21 @@
 test_lease_machine = LeaseMachine.TestCase
 
 
+def isolate_and_join(cluster, settings):
+    """Cut a VM off as its failure domain's view is about to change."""
+    cluster.store.cut.add(settings['vm'])
+    for vm in cluster.settings:
+        cluster.cuts.add(frozenset((settings['vm'], vm)))
+    number = len(cluster.settings)
+    spare = vm_settings(HALVORSEN, number + 3)[number:]
+    joining = next(
+        each for each in spare if each['domain'] == settings['domain']
+    )
+    name = f'new-{number}'
+    cluster.cuts.add(frozenset((settings['vm'], name)))
+    cluster.start_vm({**joining, 'vm': name})
+
+
 def started(seed=1):
     cluster = Cluster(
         vm_settings(HALVORSEN, VMS),
@@ -113,6 +134,14 @@
     assert len(holders.holders()) == len(KEYS) * 3
 
 
+@pytest.mark.parametrize('seed', range(6))
+def test_isolated_owner_loses_its_lease_before_a_joiner_takes_over(seed):
+    cluster, holders = started(seed)
+    isolate_and_join(cluster, cluster.settings[f'vm-{seed:03}'])
+    holders.run(10, step=0.01)
+    assert len(holders.holders()) == len(KEYS) * 3
+
+
 def test_store_outage_stops_nobody():
     cluster, holders = started()
     before = holders.holders()
