--- a/rosemaryweir/node/part.py
+++ b/rosemaryweir/node/part.py
@@ -10,6 +10,7 @@
 """
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
+from functools import partial
 from random import Random
 from typing import Any, ClassVar, TypeVar
 
@@ -121,5 +122,10 @@
 
     Parts get events in this order, whatever the order of imports was.
     """
-    for parts in _ROLES.values():
-        parts.sort(key=lambda part: modules.index(part.__module__))
+    rank = {module: place for place, module in enumerate(modules)}
+    for role, parts in _ROLES.items():
+        _ROLES[role] = sorted(parts, key=partial(_place, rank))
+
+
+def _place(rank: Mapping[str, int], part_type: type[Part]) -> int:
+    return rank[part_type.__module__]
