A retry that no target ran costs a fifth; hedge delay forgets within a second

Cause: after a repartition onto cold targets their leaves refuse for a moment; the refused retries used up the budget and queries ended without a shard. Change: TokenBudget.refund for attempts with ran=no; half-life 1 s.

--- a/rosemaryweir/query/attempt.py
+++ b/rosemaryweir/query/attempt.py
@@ -28,6 +28,8 @@
         When it was sent.
     version : int
         Version that it asked for; 0 for the newest.
+    extra : bool
+        Whether it is not the first at its shard.
     """
 
     uid: str
@@ -36,6 +38,7 @@
     replica: Replica
     sent: float
     version: int
+    extra: bool
 
 
 class Attempts:
@@ -78,10 +81,11 @@
         replica: Replica,
         version: int,
         now: float,
+        extra: bool,
     ) -> Attempt:
         """Start an attempt."""
         uid = self.next_uid()
-        attempt = Attempt(uid, query, shard, replica, now, version)
+        attempt = Attempt(uid, query, shard, replica, now, version, extra)
         self._open[uid] = attempt
         replica.sight.own += 1
         replica.health.sent(now)
--- a/rosemaryweir/query/budget.py
+++ b/rosemaryweir/query/budget.py
@@ -32,6 +32,10 @@
         """Count attempts that earn tokens."""
         self.tokens = min(self.burst, self.tokens + self.share * count)
 
+    def refund(self, amount: float) -> None:
+        """Give back part of a token whose attempt did not run."""
+        self.tokens = min(self.burst, self.tokens + amount)
+
     def spend(self) -> bool:
         """Take one token; return whether there was one."""
         if self.tokens < 1:
--- a/rosemaryweir/query/hedge.py
+++ b/rosemaryweir/query/hedge.py
@@ -19,7 +19,7 @@
 LEAST_SAMPLES = 100
 #: How long a delay is kept before it is computed anew, in seconds.
 REFRESH_S = 0.1
-HALF_LIFE_S = 5
+HALF_LIFE_S = 1
 
 
 class Hedging:
--- a/rosemaryweir/query/runner.py
+++ b/rosemaryweir/query/runner.py
@@ -31,6 +31,8 @@
 ALMOST = 0.999
 #: A lost attempt counts as this multiple of the usual latency.
 LOST_FOLD = 3
+#: Part of a retry's token that comes back if no target ran it.
+REFUND = 0.8
 #: Outcomes that say that a target lacks capacity.
 REFUSED = frozenset(('shed', 'timeout'))
 #: Outcomes that say that a leaf may not use a target now.
@@ -201,6 +203,8 @@
             sight.took(max(took, LOST_FOLD * sight.latency), slow, now)
         if outcome in REFUSED:
             query.refused += 1
+        if piece['ran'] == 'no' and attempt.extra:
+            query.lane.retries.refund(REFUND)
 
     def _learn(self, query: Running, shard: str, now: float) -> None:
         """Pin a query once each of its shards has answered."""
@@ -340,6 +344,7 @@
             replica,
             query.version,
             now,
+            wanted.attempts > 0,
         )
         wanted.begin(attempt)
         query.outbox.send(attempt)
