--- a/rosemaryweir/targets/__init__.py
+++ b/rosemaryweir/targets/__init__.py
@@ -11,6 +11,7 @@
 from rosemaryweir.targets.limits import *
 from rosemaryweir.targets.order_memory import *
 from rosemaryweir.targets.outbox import *
+from rosemaryweir.targets.outcome import *
 from rosemaryweir.targets.ownership import *
 from rosemaryweir.targets.queue import *
 from rosemaryweir.targets.releases import *
@@ -18,5 +19,6 @@
 from rosemaryweir.targets.silence import *
 from rosemaryweir.targets.slots import *
 from rosemaryweir.targets.timers import *
+from rosemaryweir.targets.upkeep import *
 from rosemaryweir.targets.warmth import *
 from rosemaryweir.targets.work import *
--- a/rosemaryweir/targets/dispatcher.py
+++ b/rosemaryweir/targets/dispatcher.py
@@ -1,7 +1,7 @@
 """Sends attempts to targets within their limits, and takes what comes back."""
 
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import Any
 
 from rosemaryweir.node.action import (
     Action,
@@ -14,6 +14,7 @@
 from rosemaryweir.targets.account import Account
 from rosemaryweir.targets.connections import PROVEN_WITHIN, Conn
 from rosemaryweir.targets.gate import Gate
+from rosemaryweir.targets.outcome import Outcome, outcome_of
 from rosemaryweir.targets.silence import (
     longest,
     overdue_after,
@@ -22,7 +23,7 @@
 from rosemaryweir.targets.timers import Timers
 from rosemaryweir.targets.work import OVERRUN, Work
 
-__all__ = ['Dispatcher', 'Outcome']
+__all__ = ['Dispatcher']
 
 #: Time given to open a connection, in s.
 OPEN_WITHIN = 1.0
@@ -32,14 +33,6 @@
 VERIFY_WITHIN = 0.03
 
 
-class Outcome(NamedTuple):
-    """What became of an attempt; `ran` is ``no``, ``yes`` or ``unknown``."""
-
-    status: str
-    ran: str
-    reply: TargetReply | None = None
-
-
 Settle = Callable[[Work, Outcome, float], None]
 
 
@@ -183,7 +176,7 @@
         account.meet(reply.incarnation)
         account.answered(work, now)
         account.learn(reply.status, now - work.sent_at)
-        self._finish(work, _outcome(reply), now)
+        self._finish(work, outcome_of(reply), now)
         return True
 
     def _conn_at_once(
@@ -351,11 +344,3 @@
         if now >= account.pump_at:
             account.pump_at = float('inf')
         self.pump(account, now)
-
-
-def _outcome(reply: TargetReply) -> Outcome:
-    status = 'shed' if reply.status == 'draining' else reply.status
-    ran = 'no' if status in {'shed', 'wrong_version'} else 'yes'
-    if status == 'cancelled':
-        ran = 'unknown'
-    return Outcome(status, ran, reply)
--- a/rosemaryweir/targets/outbox.py
+++ b/rosemaryweir/targets/outbox.py
@@ -9,8 +9,8 @@
 from rosemaryweir.schema.generated.orders import OrderResult
 from rosemaryweir.schema.generated.query import Load, Partial
 from rosemaryweir.targets.account import Account
-from rosemaryweir.targets.dispatcher import Outcome
 from rosemaryweir.targets.order_memory import OrderMemory
+from rosemaryweir.targets.outcome import Outcome
 from rosemaryweir.targets.results import TICK, Batch, Route, partials_of
 from rosemaryweir.targets.timers import Timers
 from rosemaryweir.targets.work import Work
--- /dev/null
+++ b/rosemaryweir/targets/outcome.py
@@ -0,0 +1,24 @@
+"""What became of an attempt."""
+
+from typing import NamedTuple
+
+from rosemaryweir.node.event import TargetReply
+
+__all__ = ['Outcome', 'outcome_of']
+
+
+class Outcome(NamedTuple):
+    """What became of an attempt; `ran` is ``no``, ``yes`` or ``unknown``."""
+
+    status: str
+    ran: str
+    reply: TargetReply | None = None
+
+
+def outcome_of(reply: TargetReply) -> Outcome:
+    """Return what a reply says of its attempt."""
+    status = 'shed' if reply.status == 'draining' else reply.status
+    ran = 'no' if status in {'shed', 'wrong_version'} else 'yes'
+    if status == 'cancelled':
+        ran = 'unknown'
+    return Outcome(status, ran, reply)
--- a/rosemaryweir/targets/service.py
+++ b/rosemaryweir/targets/service.py
@@ -7,7 +7,6 @@
 from rosemaryweir.node.action import (
     Action,
     ListPlatform,
-    ProbeTarget,
 )
 from rosemaryweir.node.event import (
     ConnectionClosed,
@@ -22,15 +21,17 @@
 from rosemaryweir.node.part import Part, handles, part_of
 from rosemaryweir.node.state import NodeState
 from rosemaryweir.targets.account import Account
-from rosemaryweir.targets.dispatcher import Dispatcher, Outcome
+from rosemaryweir.targets.dispatcher import Dispatcher
 from rosemaryweir.targets.fleet import Fleet
 from rosemaryweir.targets.gate import Gate
 from rosemaryweir.targets.handover import Handover
 from rosemaryweir.targets.leaving import Exclusions
 from rosemaryweir.targets.outbox import Outbox
+from rosemaryweir.targets.outcome import Outcome
 from rosemaryweir.targets.releases import Releases
 from rosemaryweir.targets.results import Route
 from rosemaryweir.targets.timers import Timers
+from rosemaryweir.targets.upkeep import Upkeep
 from rosemaryweir.targets.work import MAX_WORK, Work
 
 __all__ = ['TargetService']
@@ -38,11 +39,7 @@
 MS_PER_S = 1000.0
 #: Time between looks at lease, releases and withdrawn targets, in s.
 TICK = 0.1
-#: Least time between two probes of a target, of one that is out, and between
-#: two looks at the platform's list.
-PROBE_EVERY = 1.0
-PROBE_EXCLUDED = 0.2
-PROBE_WITHIN = 0.5
+#: Time between two looks at the platform's list, in s.
 LIST_EVERY = 2.0
 #: Longest wait at shutdown for the views to leave this VM out, in s.
 LEAVE_WITHIN = 5.0
@@ -72,6 +69,7 @@
             self.timers,
             self.outbox.settle,
         )
+        self.upkeep = Upkeep(self.gate, self.dispatcher, rng)
         self._leaving_since = float('inf')
 
     def next_wake(self) -> float | None:
@@ -333,31 +331,9 @@
         if now - self._leaving_since >= LEAVE_WITHIN:
             self.gate.stopped = True
         for account in tuple(self.fleet.accounts.values()):
-            self._look_after(account, now)
+            self.upkeep.look_after(account, now)
         self._release(now)
 
-    def _look_after(self, account: Account, now: float) -> None:
-        owned = account.name in self.handover.owned()
-        refusal = self.gate.refusal(account.name, now)
-        if refusal:
-            self.dispatcher.refuse_waiting(account, refusal, now)
-        if refusal == 'out' or not owned:
-            self._close_idle(account, now)
-        if owned and account.probe_at <= now:
-            every = PROBE_EXCLUDED if refusal == 'out' else PROBE_EVERY
-            account.probe_at = now + every * (1 + self.rng.random())
-            self.dispatcher.actions.append(
-                ProbeTarget(
-                    account.name,
-                    account.address,
-                    now + PROBE_WITHIN,
-                ),
-            )
-
-    def _close_idle(self, account: Account, now: float) -> None:
-        for conn in account.pool.stale(now):
-            self.dispatcher.close(account, conn.number, 'unused', now)
-
     def _release(self, now: float) -> None:
         sendings = self.releases.add(self.fleet.drained(now), now)
         for sending in (*sendings, *self.releases.again(now)):
