--- a/rosemaryweir/targets/outbox.py
+++ b/rosemaryweir/targets/outbox.py
@@ -90,11 +90,11 @@
         """Send a message to a peer, if its address is known."""
         vm, _, role = peer.partition('/')
         member = self._members.get(vm)
-        if member is None:
+        address = None if member is None else member.get(f'{role}_peer')
+        if not address:
             return
-        address = str(member[f'{role}_peer'])  # type: ignore[literal-required]
         self.actions.append(
-            SendPeer(peer, address, message, now + SEND_WITHIN),
+            SendPeer(peer, str(address), message, now + SEND_WITHIN),
         )
 
     def _settle_piece(
