Leaf's status and latency plots can be read from outside; load in every failure domain

Change: GET /v1/latency on each process (bins by tenant and class), 'rosemaryweir latency' plots them, 'leaf_http' in the settings gives the leaf its status page, load callers are spread over failure domains.

--- a/rosemaryweir/cli/demo.py
+++ b/rosemaryweir/cli/demo.py
@@ -142,7 +142,7 @@
             seconds=LOAD_S,
             deadline_ms=DEADLINE_MS,
             classes=tuple(sorted(self.deployment.classes)),
-            domain=self.deployment.domains[0],
+            domains=self.deployment.domains,
         )
 
     async def _ask_again(self) -> list[str]:
--- a/rosemaryweir/cli/main.py
+++ b/rosemaryweir/cli/main.py
@@ -16,6 +16,7 @@
 from rosemaryweir.cli.show import (
     findings_lines,
     plan_lines,
+    plot_lines,
     status_lines,
 )
 from rosemaryweir.exception import InvalidInput
@@ -99,9 +100,13 @@
         self._apply(_read(path, 'note'), agent)
 
     def status(self, address: str = ENTRY) -> None:
-        """Show the status of a process: an entry's or an agent's address."""
+        """Show the status of a process: an entry's, leaf's or agent's."""
         _print(status_lines(_ask(address, 'GET', '/v1/status')))
 
+    def latency(self, address: str = ENTRY) -> None:
+        """Plot the latency histograms of a process, by tenant and class."""
+        _print(plot_lines(_ask(address, 'GET', '/v1/latency')))
+
     def drain(self, domain: str, agent: str = AGENT, reason: str = '') -> None:
         """Take a failure domain out: it gets no new work."""
         self._set_domain(domain, 'out', agent, reason)
--- a/rosemaryweir/cli/show.py
+++ b/rosemaryweir/cli/show.py
@@ -5,11 +5,13 @@
 from typing import Any
 
 from rosemaryweir.exception import Finding
+from rosemaryweir.telemetry.histogram import Bin, text_plot
 
 __all__ = [
     'findings_lines',
     'latency_lines',
     'plan_lines',
+    'plot_lines',
     'status_lines',
     'table_lines',
 ]
@@ -79,6 +81,24 @@
     )
 
 
+def plot_lines(page: Mapping[str, Any]) -> Iterator[str]:
+    """Yield a plot of each histogram of a latency page.
+
+    Examples
+    --------
+    >>> page = {'vm': 'a', 'role': 'leaf', 'histograms': {'h': [[2.0, 3]]}}
+    >>> for line in plot_lines(page):
+    ...     print(line)
+    a/leaf
+    h
+        2.0 ms | ######################################## 3
+    """
+    yield f'{page["vm"]}/{page["role"]}'
+    for name, bins in page['histograms'].items():
+        yield name
+        yield text_plot(Bin(*each) for each in bins)
+
+
 def status_lines(status: Mapping[str, Any]) -> Iterator[str]:
     """Yield the status of one process."""
     state = 'serving' if status['serving'] else status['reason'] or 'fenced'
--- a/rosemaryweir/daemons/load.py
+++ b/rosemaryweir/daemons/load.py
@@ -9,6 +9,7 @@
 import json
 import sys
 from collections.abc import Mapping
+from itertools import cycle, islice
 from random import Random
 from typing import Any
 
@@ -58,9 +59,10 @@
                 self._rng,
             )
         self.tally = LoadTally()
+        domains = cycle(plan.domains or ('',))
         self._callers = [
-            Caller(plan.entries, self._pool, self._rng, plan.domain)
-            for _ in range(plan.callers)
+            Caller(plan.entries, self._pool, self._rng, domain)
+            for domain in islice(domains, plan.callers)
         ]
 
     async def run(self) -> LoadSummary:
@@ -139,7 +141,7 @@
     deadline_ms: int = 1000,
     classes: str = '',
     tenant: str = '',
-    domain: str = '',
+    domains: str = '',
     callers: int = 20,
     seed: int = 1,
     straight: str = '',
@@ -163,8 +165,10 @@
         Deadline of each request.
     classes : str
         Classes of the queries.
-    tenant, domain : str
-        The caller's tenant and failure domain.
+    tenant : str
+        Tenant of the callers.
+    domains : str
+        Failure domains that the callers are spread over.
     callers : int
         Callers, each with its own copy of the directory's answer.
     seed : int
@@ -185,7 +189,7 @@
         deadline_ms=deadline_ms,
         classes=_listed(classes),
         tenant=tenant,
-        domain=domain,
+        domains=_listed(domains),
         callers=callers,
         seed=seed,
         straight=straight,
--- a/rosemaryweir/daemons/load_caller.py
+++ b/rosemaryweir/daemons/load_caller.py
@@ -74,6 +74,8 @@
         """
         loop = asyncio.get_running_loop()
         ends = loop.time() + seconds + GRACE_SECONDS
+        if self._domain:
+            body = {**body, 'domain': self._domain}
         address = await self._address()
         try:
             reply = await self._post(address, path, body, ends)
--- a/rosemaryweir/daemons/load_plan.py
+++ b/rosemaryweir/daemons/load_plan.py
@@ -30,8 +30,10 @@
         Deadline of each request.
     classes : tuple of str
         Classes that queries are spread over; empty for the default.
-    tenant, domain : str
-        Caller's tenant and failure domain; empty when not named.
+    tenant : str
+        Caller's tenant; empty when not named.
+    domains : tuple of str
+        Failure domains that callers are spread over; empty when not named.
     callers : int
         Number of callers, each with its own copy of the directory.
     seed : int
@@ -50,7 +52,7 @@
     deadline_ms: int = 1000
     classes: tuple[str, ...] = ()
     tenant: str = ''
-    domain: str = ''
+    domains: tuple[str, ...] = ()
     callers: int = 20
     seed: int = 1
     straight: str = ''
@@ -131,7 +133,6 @@
         context = {
             'deadline_ms': self._plan.deadline_ms,
             'tenant': self._plan.tenant,
-            'domain': self._plan.domain,
         }
         whole = {**context, **body}
         return {key: content for key, content in whole.items() if content}
--- a/rosemaryweir/daemons/process.py
+++ b/rosemaryweir/daemons/process.py
@@ -49,8 +49,6 @@
 DEFAULT_DRAIN_MS = 60_000
 #: Time for the last bytes to leave before sockets close, in seconds.
 FLUSH_SECONDS = 0.2
-#: Which addresses a role serves callers or operators on, if any.
-_HTTP = {'entry': 'entry_http', 'agent': 'agent_http', 'leaf': ''}
 
 
 class Process:
@@ -84,8 +82,7 @@
         self.peers = PeerPort(uid, post, clock)
         self._store = StoreClient(settings['store'], post)
         self._targets = TargetPort(post, clock)
-        # A leaf serves no HTTP; its port for callers stays unused.
-        self._callers = CallerPort(_HTTP[role] or 'entry_http', post, clock)
+        self._callers = CallerPort(f'{role}_http', post, clock)
         self._callers.extra_status = self._extra_status
         self.driver.connect(
             self._callers.reply,
@@ -96,11 +93,14 @@
 
     async def start(self) -> None:
         """Listen on the addresses of the role and set the node going."""
-        addresses: Mapping[str, Any] = {**self._settings['addresses']}
+        addresses: Mapping[str, Any] = {
+            'leaf_http': self._settings.get('leaf_http', ''),
+            **self._settings['addresses'],
+        }
         used = {'peer': self.peers.start(addresses[f'{self._role}_peer'])}
-        http = _HTTP[self._role]
+        http = addresses[f'{self._role}_http']
         if http:
-            used['http'] = await self._callers.http.start(addresses[http])
+            used['http'] = await self._callers.http.start(http)
         self._log.event(STARTED, used)
         self.driver.start()
 
--- a/rosemaryweir/daemons/tests/test_process.py
+++ b/rosemaryweir/daemons/tests/test_process.py
@@ -34,6 +34,7 @@
             'work': 'order',
         }
         self.settings = path_settings(address, start)
+        self.settings['leaf_http'] = f'127.0.0.1:{start + 40}'
         self.group = TargetGroup(config, {})
         self.agent = StaticAgent(config, self.settings)
         await self.group.start()
@@ -92,10 +93,26 @@
         status = await tier.get('/v1/status')
         assert status['peers']['taken'] > 0
         assert any('fan-' in name for name in status['latency_ms'])
+        bins = (await tier.get('/v1/latency'))['histograms']
+        assert bins.keys() == status['latency_ms'].keys()
+        for name, summary in status['latency_ms'].items():
+            counted = sum(count for _, count in bins[name])
+            assert counted >= summary['total'] > 0
 
     run(scenario, PORTS)
 
 
+def test_the_leaf_shows_its_status_on_an_address_of_its_own():
+    async def scenario(tier):
+        address = tier.settings['leaf_http']
+        status = json.loads((await fetch(address, 'GET', '/v1/status')).body)
+        assert status['role'] == 'leaf'
+        reply = await fetch(address, 'POST', '/v1/query', (), b'{}')
+        assert reply.status == 404
+
+    run(scenario, PORTS + 3000)
+
+
 @pytest.mark.parametrize('kind', ['wrong_echo', 'cut', 'shed'])
 def test_a_faulty_target_lessens_coverage_truly(kind):
     async def scenario(tier):
--- a/rosemaryweir/node/node.py
+++ b/rosemaryweir/node/node.py
@@ -41,6 +41,7 @@
 HTTP_OK = 200
 HTTP_INTERNAL_ERROR = 500
 STATUS_TOPIC = 'status'
+LATENCY_TOPIC = 'latency'
 TIMING = 'time'
 
 BoundHandler = Callable[[Any, float], Iterable[Action]]
@@ -75,6 +76,10 @@
         self._table: dict[tuple[type, str | None], list[BoundHandler]] = {}
         for part in self.parts:
             self._register(part)
+        self._pages: dict[str, Callable[[float], dict[str, Any]]] = {
+            STATUS_TOPIC: self.status,
+            LATENCY_TOPIC: self.latency,
+        }
 
     @classmethod
     def from_config(
@@ -132,6 +137,14 @@
             },
         }
 
+    def latency(self, now: float) -> dict[str, Any]:
+        """Return the bins of every latency histogram, by name and labels."""
+        return {
+            'vm': self.state.uid.vm,
+            'role': self.state.uid.role,
+            'histograms': self.histograms.bins(),
+        }
+
     def next_wake(self) -> float | None:
         """Return the time of the next timer, or None."""
         wakes = (part.next_wake() for part in self.parts)
@@ -147,8 +160,9 @@
     def _dispatch(self, event: Event, now: float) -> Iterable[Action]:
         if isinstance(event, Wake):
             return self._wake(now)
-        if isinstance(event, CallerRequest) and event.topic == STATUS_TOPIC:
-            return (ReplyCaller(event.req, HTTP_OK, self.status(now)),)
+        if isinstance(event, CallerRequest) and event.topic in self._pages:
+            page = self._pages[event.topic](now)
+            return (ReplyCaller(event.req, HTTP_OK, page),)
         if isinstance(event, ShutdownAsked):
             self.state.leaving = True
         return self._offer(event, now)
--- a/rosemaryweir/telemetry/histogram.py
+++ b/rosemaryweir/telemetry/histogram.py
@@ -9,7 +9,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-__all__ = ['HistogramSet', 'Percentiles', 'text_plot']
+__all__ = ['Bin', 'HistogramSet', 'Percentiles', 'text_plot']
 
 LOWEST_US = 1
 HIGHEST_US = 60_000_000
@@ -32,6 +32,13 @@
     worst: float
 
 
+class Bin(NamedTuple):
+    """So many records up to a bound, in ms."""
+
+    bound_ms: float
+    count: int
+
+
 class HistogramSet:
     """Histograms by name and labels.
 
@@ -74,30 +81,37 @@
             for (name, labels), histogram in sorted(self._histograms.items())
         }
 
-    def plot(self, name: str, **labels: str) -> str:
-        """Return a text plot of one histogram."""
-        histogram = self._histograms.get((name, tuple(sorted(labels.items()))))
-        if histogram is None:
-            return 'nothing recorded'
-        return text_plot(
-            (
-                step.value_iterated_to / US_PER_MS,
-                step.count_added_in_this_iter_step,
-            )
-            for step in histogram.get_log_iterator(US_PER_MS, 2)
-        )
+    def bins(self) -> dict[str, list[Bin]]:
+        """Return the bins of every histogram, by name and labels.
+
+        Returns
+        -------
+        dict of str to list of Bin
+            Bounds double from bin to bin; empty bins are left out.
+
+        Examples
+        --------
+        >>> histograms = HistogramSet()
+        >>> histograms.record('query', 1.5, {})
+        >>> [tuple(each) for each in histograms.bins()['query']]
+        [(2.0, 1)]
+        """
+        return {
+            _title(name, labels): _bins(histogram)
+            for (name, labels), histogram in sorted(self._histograms.items())
+        }
 
 
-def text_plot(bars: Iterable[tuple[float, int]]) -> str:
-    """Return a text plot of ``(upper bound in ms, count)`` bars.
+def text_plot(bins: Iterable[Bin]) -> str:
+    """Return a text plot of bins.
 
     Examples
     --------
-    >>> print(text_plot([(1.0, 2), (2.0, 4)]))
+    >>> print(text_plot([Bin(1.0, 2), Bin(2.0, 4)]))
         1.0 ms | ####################                     2
         2.0 ms | ######################################## 4
     """
-    shown = [(bound, count) for bound, count in bars if count]
+    shown = [(bound, count) for bound, count in bins if count]
     most = max((count for _, count in shown), default=1)
     return '\n'.join(
         f'{bound:7.1f} ms | {"#" * round(PLOT_WIDTH * count / most):40} {count}'
@@ -105,6 +119,18 @@
     )
 
 
+def _bins(histogram: HdrHistogram) -> list[Bin]:
+    steps = histogram.get_log_iterator(US_PER_MS, PLOT_GROWTH)
+    return [
+        Bin(
+            step.value_iterated_to / US_PER_MS,
+            step.count_added_in_this_iter_step,
+        )
+        for step in steps
+        if step.count_added_in_this_iter_step
+    ]
+
+
 def _title(name: str, labels: Labels) -> str:
     inner = ','.join(f'{key}={label}' for key, label in labels)
     return f'{name}{{{inner}}}' if inner else name
--- a/rosemaryweir/testing/deployment.py
+++ b/rosemaryweir/testing/deployment.py
@@ -200,6 +200,10 @@
     )
 
 
+def _leaf_http(index: int, host: str) -> str:
+    return f'{host}:{FIRST_VM_PORT + index * PORTS_PER_VM + 5}'
+
+
 def vm_settings(
     deployment: Deployment,
     vms: int,
@@ -229,6 +233,7 @@
             domain=domain,
             region='home',
             addresses=_addresses(index, host),
+            leaf_http=_leaf_http(index, host),
             store=store,
             seeds=[seed for seed in seeds if seed['vm'] != vm],
         )
--- a/rosemaryweir/transport/callers.py
+++ b/rosemaryweir/transport/callers.py
@@ -19,7 +19,11 @@
 #: Release notes are larger than questions.
 OPERATOR_LIMITS = HttpLimits(body_bytes=8 * KIB * KIB, read_seconds=30.0)
 STATUS_TOPIC = 'status'
-_LIMITS = {'entry_http': HttpLimits(), 'agent_http': OPERATOR_LIMITS}
+_LIMITS = {
+    'entry_http': HttpLimits(),
+    'leaf_http': HttpLimits(),
+    'agent_http': OPERATOR_LIMITS,
+}
 
 
 class CallerPort:
@@ -28,7 +32,8 @@
     Parameters
     ----------
     server : str
-        Name of the address in the settings: ``entry_http``, ``agent_http``.
+        Name of the address in the settings: ``entry_http``, ``leaf_http`` or
+        ``agent_http``.
     post : callable
         Takes each event.
     clock : Clock
--- a/rosemaryweir/transport/decode.py
+++ b/rosemaryweir/transport/decode.py
@@ -71,6 +71,11 @@
 
 Outcome: TypeAlias = Result[Decoded, Refused]
 
+#: What every process shows of itself.
+_PAGES = (
+    Route('GET', '/v1/status', 'status'),
+    Route('GET', '/v1/latency', 'latency'),
+)
 #: Paths of each server, by the name of its address in the settings.
 _ROUTES: Mapping[str, tuple[Route, ...]] = {
     'entry_http': (
@@ -78,14 +83,15 @@
         Route('POST', '/v1/order', 'order', 'http/OrderRequest', context=True),
         Route('GET', '/v1/directory', 'directory', context=True),
         Route('GET', '/v1/health', 'health'),
-        Route('GET', '/v1/status', 'status'),
+        *_PAGES,
     ),
     'agent_http': (
         Route('POST', '/v1/notes', 'note', 'note'),
         Route('POST', '/v1/plan', 'plan', 'note'),
         Route('GET', '/v1/config', 'config'),
-        Route('GET', '/v1/status', 'status'),
+        *_PAGES,
     ),
+    'leaf_http': _PAGES,
 }
 
 
@@ -106,7 +112,7 @@
     Parameters
     ----------
     server : str
-        ``entry_http`` or ``agent_http``.
+        ``entry_http``, ``leaf_http`` or ``agent_http``.
     request : HttpRequest
         The request, whole.
 
