--- a/rosemaryweir/telemetry/histogram.py
+++ b/rosemaryweir/telemetry/histogram.py
@@ -36,7 +36,7 @@
     """So many records up to a bound, in ms."""
 
     bound_ms: float
-    count: int
+    records: int
 
 
 class HistogramSet:
