--- a/tools/tests/test_examples.py
+++ b/tools/tests/test_examples.py
@@ -23,8 +23,15 @@
     assert 'runs: 1\n' in out
 
 
+def test_one_node_driven_by_hand_takes_a_note(capsys):
+    out = run_example('drive_one_node', capsys)
+    assert 'answer: 200' in out
+    assert 'generation in force: 1\n' in out
+
+
 def test_every_example_has_a_test():
     assert {path.stem for path in EXAMPLES.glob('*.py')} == {
         'query_with_straggler',
         'order_asked_twice',
+        'drive_one_node',
     }
