Leaves answer the entry of a VM that is leaving

Cause: a view drops a VM at the first word of its shutdown, so that its targets are handed over early, while its entry serves until no caller has its address (8.5 s). The check of P9 looked at cut requests only.

Change: a leaf keeps the addresses of up to 64 former members.

The matrix tells its progress on the standard error.

--- a/benchmarks/matrix.py
+++ b/benchmarks/matrix.py
@@ -5,7 +5,9 @@
 mutation must be found by the cell named with it.
 """
 
+import sys
 from collections import Counter
+from collections.abc import Sequence
 from itertools import cycle, product
 from random import Random
 from typing import Any, NamedTuple
@@ -110,6 +112,25 @@
     return every + pairs(seed, PAIRS)
 
 
+def _run_all(chosen: Sequence[Cell]) -> list[Outcome]:
+    """Run cells, telling the progress on the standard error."""
+    outcomes: list[Outcome] = []
+    for number, cell in enumerate(chosen, start=1):
+        outcome = run_cell(cell)
+        outcomes.append(outcome)
+        faults_named = ' + '.join(cell.faults)
+        _tell(
+            f'{number}/{len(chosen)} {cell.step}, {faults_named}, '
+            f'seed {cell.seed}: {len(outcome.violations)} violations',
+        )
+    return outcomes
+
+
+def _tell(line: str) -> None:
+    sys.stderr.write(f'{line}\n')
+    sys.stderr.flush()
+
+
 def _shown(outcome: Outcome) -> dict[str, Any]:
     return {
         'step': outcome.cell.step,
@@ -123,7 +144,7 @@
 @benchmark('matrix')
 def run(seed: int, quick: bool) -> Report:
     """Run the matrix, or with ``quick`` a sample of its cells."""
-    outcomes = [run_cell(cell) for cell in _chosen(seed, quick)]
+    outcomes = _run_all(_chosen(seed, quick))
     found = {name: finds(each) for name, each in mutations().items()}
     failed = [outcome for outcome in outcomes if outcome.violations]
     by_promise = Counter(
--- a/rosemaryweir/targets/outbox.py
+++ b/rosemaryweir/targets/outbox.py
@@ -1,6 +1,7 @@
 """Messages of a leaf to entries and other leaves."""
 
 from collections.abc import Mapping
+from itertools import islice
 from typing import Any
 
 from rosemaryweir.node.action import Action, SendPeer
@@ -22,6 +23,8 @@
 SEND_WITHIN = 1.0
 #: Time between two tellings of the load of all targets to an entry, in s.
 PENDING_EVERY = 0.004
+#: Former members that still get answers.
+FORMER_KEPT = 64
 #: Results of orders by status of the reply; the target refused the first.
 ORDER_RESULTS = {
     'shed': 'refused',
@@ -60,8 +63,20 @@
         self._pending_due: dict[str, float] = {}
 
     def members_changed(self) -> None:
-        """Look up the addresses of the members anew."""
-        self._members = {each['vm']: each for each in self.state.members()}
+        """Look up the addresses of the members anew.
+
+        Notes
+        -----
+        A VM that leaves is out of its view at once, but its entry serves on
+        until no caller has its address; so former members are kept.
+        """
+        members = {each['vm']: each for each in self.state.members()}
+        former = (
+            (vm, each)
+            for vm, each in self._members.items()
+            if vm not in members
+        )
+        self._members = {**dict(islice(former, FORMER_KEPT)), **members}
 
     def batch(self, sender: str, query: str, until: float) -> Batch:
         """Return the batch of a query of an entry."""
