Lateness and the change of the pin leave the runner

Cause: rosemaryweir/query/runner.py held 370 lines: the events of a query, but also which pieces are late, whether a hedge helps, and whether a pin changes. Change: the latter three are pure functions, in lateness.py and repin.py; the runner has 309 lines.

--- a/rosemaryweir/query/runner.py
+++ b/rosemaryweir/query/runner.py
@@ -5,8 +5,14 @@
 
 from rosemaryweir.node.state import NodeState
 from rosemaryweir.query.attempt import Attempt, Attempts
-from rosemaryweir.query.pin import coverable
+from rosemaryweir.query.lateness import (
+    first_look,
+    late_pieces,
+    next_look,
+    quicker,
+)
 from rosemaryweir.query.plan import Fleet, Plan
+from rosemaryweir.query.repin import better_version
 from rosemaryweir.query.replica import Replica, choose, choose_other
 from rosemaryweir.query.retry import backoff, elsewhere, worth_it
 from rosemaryweir.query.running import NEVER, Running, Wanted
@@ -15,20 +21,6 @@
 
 __all__ = ['Runner']
 
-#: Most attempts at one shard that may be in flight at once.
-MOST_OPEN = 3
-#: A query is hedged when at most this share of its shards is missing.
-HEDGED_SHARE = 0.15
-#: That many shards are hedged in any case.
-HEDGED_LEAST = 2
-#: After this multiple of the delay it is hedged whatever is missing.
-PATIENCE_FOLD = 2
-#: Later hedges of a query follow after this share of the delay.
-NEXT_DELAY_SHARE = 0.5
-#: An attempt at a target on trial is hedged after this share of the delay.
-DOUBT_SHARE = 0.4
-#: Timers of nearly the same time are taken together.
-ALMOST = 0.999
 #: A lost attempt counts as this multiple of the usual latency.
 LOST_FOLD = 3
 #: Part of a retry's token that comes back if no target ran it.
@@ -96,10 +88,7 @@
         count = len(query.wanted)
         self.first += count
         query.hedging.budget.earn(count)
-        delay = query.hedging.delay(now)
-        if any(each.on_trial for each in query.wanted.values()):
-            delay *= DOUBT_SHARE
-        query.hedge_at = now + delay
+        query.hedge_at = first_look(query, now)
 
     def take(
         self,
@@ -231,7 +220,7 @@
                 self._retry(query, wanted, now)
 
     def _retry(self, query: Running, wanted: Wanted, now: float) -> None:
-        if self._waits(query, wanted):
+        if query.waits(wanted.shard):
             return
         replica = None
         if self.state.may_start(now):
@@ -250,20 +239,8 @@
 
     def _better(self, query: Running, now: float) -> bool:
         """Change the pin, once, to a version that covers more."""
-        if query.repinned or not query.version:
-            return False
-        pin = query.lane.pin(query.scatter.layout)
-        version = pin.best(query.plan.sights)
-        left = query.asked.deadlines.answer - now
-        if version == query.version or left < query.hedging.usual():
-            return False
-        sights = query.plan.sights
-        layout = query.scatter.layout
-        hopeful = coverable(sights, layout, query.version)
-        if coverable(sights, layout, version) <= max(
-            hopeful,
-            query.merge.covered(query.version),
-        ):
+        version = better_version(query, now)
+        if not version:
             return False
         query.repinned = True
         self._change(query, version, now)
@@ -288,44 +265,17 @@
         wanted.tried = [attempt.replica for attempt in wanted.open]
 
     def _hedge(self, query: Running, now: float) -> None:
-        delay = query.hedging.delay(now)
-        query.hedge_at = now + delay * NEXT_DELAY_SHARE
+        query.hedge_at = next_look(query, now)
         if not query.version and len(query.unheard) < len(query.plan.shards):
             self._settle(query, now)
         if query.lane.admission.pressed or not self.state.may_start(now):
             return
-        late = [
-            wanted
-            for wanted in query.wanted.values()
-            if wanted.open
-            and self._late(wanted, delay, now)
-            and not self._waits(query, wanted)
-        ]
-        most = max(HEDGED_LEAST, HEDGED_SHARE * len(query.plan.shards))
-        waited = now - query.started
-        if len(late) > most and waited < PATIENCE_FOLD * delay:
-            return
-        for wanted in late:
+        for wanted in late_pieces(query, now):
             self._hedge_one(query, wanted, now)
 
-    def _late(self, wanted: Wanted, delay: float, now: float) -> bool:
-        last = wanted.open[-1]
-        count = len(wanted.open)
-        share = 1 if count == 1 else NEXT_DELAY_SHARE
-        if wanted.on_trial:
-            share = DOUBT_SHARE
-        waited = now - last.sent
-        return count < MOST_OPEN and waited >= delay * share * ALMOST
-
-    def _waits(self, query: Running, wanted: Wanted) -> bool:
-        """Return whether a shard has answered and waits for the pin."""
-        return not query.version and wanted.shard not in query.unheard
-
     def _hedge_one(self, query: Running, wanted: Wanted, now: float) -> None:
         replica = self._other(query, wanted, now)
-        if replica is None or not (
-            wanted.on_trial or _quicker(replica, wanted)
-        ):
+        if replica is None or not (wanted.on_trial or quicker(replica, wanted)):
             return
         if query.hedging.budget.spend():
             self.extra += 1
@@ -357,14 +307,3 @@
             attempt.replica.sight.at_least(now - attempt.sent, slow, now)
             query.outbox.cancel(attempt)
         wanted.open.clear()
-
-
-def _quicker(replica: Replica, wanted: Wanted) -> bool:
-    """Return whether a hedge would run well before the last attempt.
-
-    One that has to wait as long runs beside the first attempt and only takes
-    capacity from the shard.
-    """
-    here = replica.sight
-    there = wanted.open[-1].replica.sight
-    return here.has_room or 2 * (here.pending + 1) <= there.pending + 1
--- a/rosemaryweir/query/running.py
+++ b/rosemaryweir/query/running.py
@@ -121,6 +121,10 @@
         total = len(self.plan.shards)
         return self.merge.covered(self.version) / total if total else 1.0
 
+    def waits(self, shard: str) -> bool:
+        """Return whether a shard has answered and waits for the pin."""
+        return not self.version and shard not in self.unheard
+
     def cover(self, shard: str, now: float) -> Wanted | None:
         """Take that a shard is covered; return what was in flight for it."""
         wanted = self.wanted.pop(shard, None)
