No lease past a takeover whose view a leaf has not seen; takeover times until acknowledged

Cause: the agent sent a takeover time once, and gave leases by its own evidence alone. With the message lost the leaf never learned the time. After a restart an agent could tell the takeover time of its older view as that of the leaf's newer one.

Change: a hello states the versions whose takeover time is known; what it doesn't state is sent with every grant. A process whose hello states an older view gets no longer lease than it has. Takeover times go only with the view they belong to. Event 601 tells no flips between two reasons that both permit work.

--- a/rosemaryweir/membership/agent_client.py
+++ b/rosemaryweir/membership/agent_client.py
@@ -39,9 +39,13 @@
     601,
     'client.lease_changed',
     'warning',
-    'The reason of the lease changed; `fenced` means that no new work starts.',
+    'New work may start again, or no longer, or waits for another reason; '
+    '`fenced` means that there is no evidence that nothing newer exists.',
 )
 
+#: Reasons of a lease that permits new work.
+HOLDING = frozenset(('store', 'quorum'))
+
 #: Hellos that a grant may still answer.
 HELLOS_KEPT = 16
 
@@ -71,6 +75,7 @@
         self._sequence = 0
         self._taken = 0
         self._sent: dict[int, float] = {}
+        self._takeovers: dict[str, int] = {}
         self._granted = Granted()
         self._due = 0.0
 
@@ -128,6 +133,7 @@
         if self._is_agent(event):
             for view in message['views']:
                 self.state.take_view(view)
+            self._note_takeovers(message['takeover'])
         return ()
 
     def status(self, now: float) -> Mapping[str, Any]:
@@ -138,6 +144,15 @@
             'suspended': sorted(self.state.suspended),
         }
 
+    def _note_takeovers(self, takeover: Mapping[str, float]) -> None:
+        versions = self.state.view_versions()
+        known = {
+            domain: versions[domain]
+            for domain, wait in takeover.items()
+            if wait >= 0 and domain in versions
+        }
+        self._takeovers.update(known)
+
     def _renew(self) -> Iterator[Action]:
         before = self.state.lease.reason
         if self._granted.generation > self.state.config['generation']:
@@ -148,7 +163,7 @@
                 self._granted.reason,
             )
         after = self.state.lease.reason
-        if before != after:
+        if before != after and not HOLDING >= {before, after}:
             yield LogEvent(LEASE_CHANGED, {'before': before, 'after': after})
 
     def _is_agent(self, event: PeerMessage) -> bool:
@@ -165,6 +180,7 @@
             sequence=self._sequence,
             generation=state.config['generation'],
             views=dict(state.view_versions()),
+            takeovers=dict(self._takeovers),
             load=state.load,
             in_flight=state.in_flight,
             leaving=state.leaving,
--- a/rosemaryweir/membership/grants.py
+++ b/rosemaryweir/membership/grants.py
@@ -23,28 +23,33 @@
 #: Time after which an unsent message is worth nothing, in seconds.
 SEND_S = 0.5
 
-#: Takeover time that is not known yet, in ms.
-UNKNOWN_MS = -1.0
-
 MS_PER_S = 1000
 
 
 class Local(NamedTuple):
-    """The latest hello of a process of the VM."""
+    """The latest hello of a process of the VM, and until when it may work."""
 
     hello: Hello
     heard: float
+    granted: float
 
 
 @part_of('agent')
 class GrantService(Part):
-    """Grant leases, pass on views, and see the VM off at shutdown."""
+    """Grant leases, pass on views, and see the VM off at shutdown.
+
+    Notes
+    -----
+    Views and takeover times are sent again with each grant until a hello
+    states them.  Until then the lease of a process is not renewed: what it
+    has rests on evidence from before this agent adopted the newer view, and
+    ends before anybody may take over by that view.
+    """
 
     def __init__(self, state: NodeState, rng: Random) -> None:
         super().__init__(state, rng)
         self.control = control_of(state)
         self._locals: dict[str, Local] = {}
-        self._passed: dict[str, dict[str, float | None]] = {}
         self._asked: float | None = None
         self._due = 0.0
 
@@ -88,16 +93,22 @@
         hello: Hello = event.message  # type: ignore[assignment]
         if event.sender.partition('/')[0] != self.state.uid.vm:
             return
-        self._locals[hello['role']] = Local(hello, now)
+        former = self._locals.get(hello['role'])
+        behind = self._is_behind(hello)
+        granted = 0.0 if former is None else former.granted
+        if not behind:
+            granted = min(now + GRANT_S, self.control.permission(now).until)
+        self._locals[hello['role']] = Local(hello, now, granted)
         self._follow(now)
         yield from self._pass_views(hello, now)
         permission = self.control.permission(now)
-        left = min(GRANT_S, max(0.0, permission.until - now))
+        left = max(0.0, min(granted, permission.until) - now)
+        reason = permission.reason if left or not behind else 'viewing'
         grant = Grant(
             kind='grant',
             sequence=hello['sequence'],
             lease_ms=left * MS_PER_S,
-            reason=permission.reason,
+            reason=reason,
             generation=max(
                 self.control.told,
                 self.state.config['generation'],
@@ -157,31 +168,37 @@
         vm = self.state.uid.vm
         return any(member['vm'] == vm for member in self.state.members())
 
-    def _pass_views(self, hello: Hello, now: float) -> Iterator[Action]:
-        succession = self.control.succession
-        takeovers = {
-            domain: succession.takeover(domain) for domain in self.state.views
-        }
-        passed = self._passed.get(hello['role'])
-        current = self.state.view_versions()
-        if hello['views'] == current and passed == takeovers:
-            return
-        self._passed[hello['role']] = takeovers
-        viewed = Viewed(
-            kind='viewed',
-            views=[
-                view
-                for domain, view in self.state.views.items()
-                if hello['views'].get(domain, 0) < view['version']
-            ],
-            takeover={
-                domain: UNKNOWN_MS
-                if when is None
-                else max(0.0, when - now) * MS_PER_S
-                for domain, when in takeovers.items()
-            },
+    def _is_behind(self, hello: Hello) -> bool:
+        return any(
+            hello['views'].get(domain, 0) < version
+            for domain, version in self.state.view_versions().items()
         )
-        yield self._to_local(hello['role'], viewed, now)
+
+    def _pass_views(self, hello: Hello, now: float) -> Iterator[Action]:
+        """Send the views and takeover times that a hello doesn't state."""
+        views = [
+            view
+            for domain, view in self.state.views.items()
+            if hello['views'].get(domain, 0) < view['version']
+        ]
+        takeover = dict(self._takeovers(hello, now))
+        if views or takeover:
+            viewed = Viewed(kind='viewed', views=views, takeover=takeover)
+            yield self._to_local(hello['role'], viewed, now)
+
+    def _takeovers(
+        self,
+        hello: Hello,
+        now: float,
+    ) -> Iterator[tuple[str, float]]:
+        for domain, version in self.state.view_versions().items():
+            # The time is that of the view here, which may be the older one
+            # after a restart of this agent.
+            newer = hello['views'].get(domain, 0) > version
+            known = hello['takeovers'].get(domain, 0) >= version
+            when = self.control.succession.takeover(domain)
+            if when is not None and not (newer or known):
+                yield domain, max(0.0, when - now) * MS_PER_S
 
     def _pulses(self, now: float) -> list[Pulse]:
         control = self.control
--- a/rosemaryweir/membership/tests/test_agent_client.py
+++ b/rosemaryweir/membership/tests/test_agent_client.py
@@ -104,6 +104,35 @@
     assert not node.state.suspended
 
 
+def test_only_changes_of_holding_are_logged():
+    node = make_node()
+    logged = []
+    for sequence, reason in enumerate(
+        ('store', 'quorum', 'store', 'fenced', 'quorum', 'quorum'),
+        1,
+    ):
+        node.handle(Wake(), 10.0 + sequence / 4)
+        event = grant(sequence, lease_ms=1500 * (reason != 'fenced'))
+        event.message['reason'] = reason
+        logged += node.handle(event, 10.0 + sequence / 4)
+    assert [event.fields['after'] for event in logged] == [
+        'store',
+        'fenced',
+        'quorum',
+    ]
+
+
+def test_hello_states_the_takeovers_that_are_known():
+    node = make_node()
+    views = [
+        {'domain': domain, 'version': 2, 'members': []} for domain in ('a', 'b')
+    ]
+    takeover = {'a': 0.0, 'c': 0.0}
+    node.handle(message(kind='viewed', views=views, takeover=takeover), 10.0)
+    (hello,) = node.handle(Wake(), 10.0)
+    assert hello.message['takeovers'] == {'a': 2}
+
+
 def test_shutdown_is_told_at_once():
     node = make_node()
     hello, *_ = node.handle(ShutdownAsked(), 10.0)
