Configuration spreads as changes, whole content only when they fail

Every process decoded, encoded and hashed all of it per note.

Change: a note's result is kept as a delta, a JSON merge patch of the records it touches, with a digest that is the sum of the digests of all records, so that neither applying nor checking reads the whole. The writer stores it beside the content as config/delta/<digest>; the head names the digests of the last 32. Agents read or fetch the chain from their generation, entries and leaves get it in `configured`. Whole content is fetched where a link is missing, unreadable or leads to another digest, where the chain is too long or larger than 64 KiB, and where nothing is held. Processes say in hello and fetch whether they take changes, so releases without them get the whole. The peer's side moved to config/relay.py, what is in force to config/kept.py.

Found on the way: a note with 1.0 for an integer passed the check (JSON Schema takes it) and made a configuration that no node could decode; it is refused with its place now. Numbers are kept as readers hold them (5 for a float became 5.0 at readers only, with another digest).

--- a/rosemaryweir/compose.py
+++ b/rosemaryweir/compose.py
@@ -36,6 +36,7 @@
     'rosemaryweir.membership.view_service',
     'rosemaryweir.membership.service',
     'rosemaryweir.config.note_service',
+    'rosemaryweir.config.relay',
     'rosemaryweir.config.service',
     'rosemaryweir.query.service',
     'rosemaryweir.orders.service',
--- a/rosemaryweir/config/__init__.py
+++ b/rosemaryweir/config/__init__.py
@@ -1,6 +1,8 @@
 """Configuration: release notes, spread and fence."""
 
+from rosemaryweir.config.chain import *
 from rosemaryweir.config.content import *
+from rosemaryweir.config.delta import *
 from rosemaryweir.config.fence import *
 from rosemaryweir.config.head import *
 from rosemaryweir.config.intents import *
--- /dev/null
+++ b/rosemaryweir/config/chain.py
@@ -0,0 +1,156 @@
+"""Chains of deltas: kept for others, and fetched from the store."""
+
+from collections import deque
+from collections.abc import Iterable, Iterator, Sequence
+
+import msgspec
+
+from rosemaryweir.config.delta import Held, difference
+from rosemaryweir.schema.generated.config import Config
+from rosemaryweir.schema.generated.control import Applied, Delta, Head
+
+__all__ = [
+    'Chain',
+    'ChainFetch',
+    'delta_key',
+    'links_after',
+    'small_delta',
+]
+
+#: Generations back that a node can be brought up to date by deltas.
+CHAIN_KEPT = 32
+
+#: Bytes of deltas that one message carries, and the size of the largest.
+CHAIN_BYTES = 64 * 1024
+
+DELTA_PREFIX = 'config/delta'
+
+
+def delta_key(digest: str) -> str:
+    """Return the key of the stored delta that makes a generation."""
+    return f'{DELTA_PREFIX}/{digest}'
+
+
+def small_delta(before: Config, made: Held) -> Delta | None:
+    """Return the delta between two generations unless it is too large."""
+    delta = difference(before, made)
+    return delta if _size(delta) <= CHAIN_BYTES else None
+
+
+def links_after(head: Head, generation: int) -> list[Applied] | None:
+    """Return the notes after a generation, oldest first.
+
+    None stands for a chain with a missing link.
+
+    Examples
+    --------
+    >>> def applied(generation):
+    ...     digest = str(generation)
+    ...     return {'generation': generation, 'digest': digest}
+    >>> head = {'generation': 3, 'recent': [applied(3), applied(2)]}
+    >>> [link['generation'] for link in links_after(head, 1)]
+    [2, 3]
+    >>> links_after(head, 0) is None
+    True
+    """
+    links = [
+        applied
+        for applied in reversed(head.get('recent', ()))
+        if applied['generation'] > generation and 'digest' in applied
+    ]
+    wanted = range(generation + 1, head['generation'] + 1)
+    found = [applied['generation'] for applied in links]
+    return links if found == list(wanted) else None
+
+
+class Chain:
+    """The deltas that led to the generation in force here, without a gap."""
+
+    def __init__(self) -> None:
+        self._deltas: deque[Delta] = deque(maxlen=CHAIN_KEPT)
+
+    def add(self, deltas: Iterable[Delta]) -> None:
+        """Add deltas that were put in force."""
+        for delta in deltas:
+            generation = delta['generation']
+            if self._newest() not in {0, generation - 1}:
+                self._deltas.clear()
+            self._deltas.append(delta)
+
+    def cut(self) -> None:
+        """Forget all: whole content was put in force."""
+        self._deltas.clear()
+
+    def since(self, generation: int) -> list[Delta]:
+        """Return deltas that follow a generation, as far as one message goes.
+
+        The list is empty when the chain doesn't reach back so far.
+        """
+        later = [
+            delta for delta in self._deltas if delta['generation'] > generation
+        ]
+        if not later or later[0]['generation'] != generation + 1:
+            return []
+        return list(_fitting(later))
+
+    def _newest(self) -> int:
+        return self._deltas[-1]['generation'] if self._deltas else 0
+
+
+class ChainFetch:
+    """Deltas that are being read from the store."""
+
+    def __init__(self) -> None:
+        self._links: tuple[Applied, ...] = ()
+        self._found: dict[str, Delta] = {}
+
+    def want(self, links: Sequence[Applied]) -> list[str]:
+        """Begin to fetch a chain; return the digests that are to be read.
+
+        What is on its way for a shorter chain isn't asked for again.
+        """
+        before = {link['digest'] for link in self._links}
+        self._links = tuple(links)
+        wanted = [link['digest'] for link in links]
+        self._found = {
+            digest: delta
+            for digest, delta in self._found.items()
+            if digest in wanted
+        }
+        return [digest for digest in wanted if digest not in before]
+
+    def put(self, digest: str, content: bytes) -> bool:
+        """Take a stored delta; return whether it is what the head names."""
+        try:
+            delta = msgspec.json.decode(content, type=Delta)
+        except msgspec.MsgspecError:
+            return False
+        if delta['digest'] != digest:
+            return False
+        self._found[digest] = delta
+        return True
+
+    def whole(self) -> list[Delta]:
+        """Return the chain once all of it is here; empty before."""
+        wanted = [link['digest'] for link in self._links]
+        if not all(digest in self._found for digest in wanted):
+            return []
+        return [self._found[digest] for digest in wanted]
+
+    def drop(self) -> None:
+        """Forget what has come, so that it can be fetched anew."""
+        self._links = ()
+        self._found = {}
+
+
+def _fitting(deltas: Iterable[Delta]) -> Iterator[Delta]:
+    room = CHAIN_BYTES
+    for delta in deltas:
+        room -= _size(delta)
+        if room < 0:
+            return
+        yield delta
+
+
+def _size(delta: Delta) -> int:
+    return len(msgspec.json.encode(delta))
--- /dev/null
+++ b/rosemaryweir/config/delta.py
@@ -0,0 +1,256 @@
+"""What one note changed: the step from a generation to the next.
+
+A delta names, by section and record, a JSON merge patch (RFC 7396) of the
+record; null where it is gone.  Configurations hold no null of their own.
+
+The digest that a delta promises is the sum of the digests of all records, so
+that it follows from the digest before and the records that changed: neither
+making nor checking it reads the whole configuration.
+"""
+
+from collections.abc import Iterable, Iterator, Mapping
+from functools import partial
+from typing import Any, NamedTuple, cast
+
+import msgspec
+import xxhash
+from returns.result import Failure, Result, Success
+
+from rosemaryweir.schema.generated.config import (
+    ClassPolicy,
+    Config,
+    Domain,
+    Service,
+    Target,
+    Tenant,
+)
+from rosemaryweir.schema.generated.control import Delta
+
+__all__ = [
+    'SECTION_TYPES',
+    'Held',
+    'difference',
+    'follow',
+    'held_of',
+    'take_chain',
+]
+
+#: Type of the records of each section.
+SECTION_TYPES: Mapping[str, Any] = {
+    'services': Service,
+    'targets': Target,
+    'domains': Domain,
+    'classes': ClassPolicy,
+    'tenants': Tenant,
+}
+
+#: Digests are sums modulo two to this power.
+DIGEST_BITS = 128
+
+_MODULUS = 1 << DIGEST_BITS
+_ENCODER = msgspec.json.Encoder(order='sorted')
+_CHANGES = msgspec.json.Decoder(dict[str, dict[str, Any]])
+
+
+class Held(NamedTuple):
+    """A configuration and the sum of the digests of its records."""
+
+    config: Config
+    total: int
+
+    @property
+    def digest(self) -> str:
+        """Digest of the records, generation and note included."""
+        config = self.config
+        head = [config['generation'], config['note'], config['format']]
+        return _text(self.total + _number(head))
+
+
+def held_of(config: Config) -> Held:
+    """Return a configuration with its sum, which reads all of it.
+
+    Examples
+    --------
+    >>> from rosemaryweir.node.state import empty_config
+    >>> first = empty_config()
+    >>> second = {**first, 'tenants': {'a': {'weight': 1}}}
+    >>> held_of(first).digest == held_of(second).digest
+    False
+    """
+    total = sum(
+        _record_number(section, name, record)
+        for section in SECTION_TYPES
+        for name, record in _records(config, section).items()
+    )
+    return Held(config, total % _MODULUS)
+
+
+def difference(before: Config, made: Held) -> Delta:
+    """Return the delta that makes one configuration of another.
+
+    Examples
+    --------
+    >>> from rosemaryweir.node.state import empty_config
+    >>> first = empty_config()
+    >>> tenants = {'a': {'weight': 1}}
+    >>> second = {**first, 'generation': 1, 'tenants': tenants}
+    >>> difference(first, held_of(second))['changes']
+    '{"tenants":{"a":{"weight":1}}}'
+    >>> third = {**first, 'generation': 2}
+    >>> difference(second, held_of(third))['changes']
+    '{"tenants":{"a":null}}'
+    """
+    after = made.config
+    changes = {
+        section: _patch(_records(before, section), _records(after, section))
+        for section in SECTION_TYPES
+    }
+    return Delta(
+        generation=after['generation'],
+        note=after['note'],
+        format=after['format'],
+        digest=made.digest,
+        changes=_ENCODER.encode(_not_empty(changes)).decode(),
+    )
+
+
+def follow(delta: Delta, held: Held) -> Result[Held, str]:
+    """Return what a delta makes of a configuration.
+
+    Parameters
+    ----------
+    delta : Delta
+        The step to the next generation.
+    held : Held
+        The configuration that it is to follow; it is left as it is.
+
+    Returns
+    -------
+    Result
+        The next generation, or why the delta is refused: ``missing link``,
+        ``unreadable`` or ``digest``.
+    """
+    if delta['generation'] != held.config['generation'] + 1:
+        return Failure('missing link')
+    try:
+        made = _apply(delta, held)
+    except (msgspec.MsgspecError, LookupError):
+        return Failure('unreadable')
+    if made.digest != delta['digest']:
+        return Failure('digest')
+    return Success(made)
+
+
+def take_chain(deltas: Iterable[Delta], held: Held) -> Result[Held, str]:
+    """Return what a chain makes of a configuration; all of it or nothing.
+
+    Steps up to the generation that is held already are passed over.
+    """
+    generation = held.config['generation']
+    made: Result[Held, str] = Success(held)
+    for delta in deltas:
+        if delta['generation'] > generation:
+            made = made.bind(partial(follow, delta))
+    return made
+
+
+def _apply(delta: Delta, held: Held) -> Held:
+    made = cast(dict[str, Any], dict(held.config))
+    made.update(
+        generation=delta['generation'],
+        note=delta['note'],
+        format=delta['format'],
+    )
+    total = held.total
+    for section, patches in _CHANGES.decode(delta['changes']).items():
+        kind = SECTION_TYPES[section]
+        before = _records(held.config, section)
+        after = dict(before)
+        for name, patch in patches.items():
+            _merge_record(kind, after, name, patch)
+            total += _change_of_total(section, name, before, after)
+        made[section] = after
+    return Held(cast(Config, made), total % _MODULUS)
+
+
+def _merge_record(
+    kind: Any,
+    records: dict[str, Any],
+    name: str,
+    patch: Any,
+) -> None:
+    if patch is None:
+        records.pop(name)
+        return
+    merged = _merge(records.get(name), patch)
+    records[name] = msgspec.convert(merged, kind)
+
+
+def _change_of_total(
+    section: str,
+    name: str,
+    before: Mapping[str, Any],
+    after: Mapping[str, Any],
+) -> int:
+    change = 0
+    if name in after:
+        change += _record_number(section, name, after[name])
+    if name in before:
+        change -= _record_number(section, name, before[name])
+    return change
+
+
+def _merge(before: Any, patch: Any) -> Any:
+    if not isinstance(patch, Mapping):
+        return patch
+    merged = dict(before) if isinstance(before, Mapping) else {}
+    for name, part in patch.items():
+        if part is None:
+            merged.pop(name, None)
+        else:
+            merged[name] = _merge(merged.get(name), part)
+    return merged
+
+
+def _patch(
+    before: Mapping[str, Any],
+    after: Mapping[str, Any],
+) -> dict[str, Any]:
+    return dict(_changed_parts(before, after))
+
+
+def _changed_parts(
+    before: Mapping[str, Any],
+    after: Mapping[str, Any],
+) -> Iterator[tuple[str, Any]]:
+    if before is after:
+        return
+    for gone in before.keys() - after.keys():
+        yield gone, None
+    for name, part in after.items():
+        known = before.get(name)
+        if known is part or known == part:
+            continue
+        both = isinstance(known, Mapping) and isinstance(part, Mapping)
+        yield name, _patch(known, part) if both else part  # type: ignore[arg-type]
+
+
+def _not_empty(changes: Mapping[str, Any]) -> dict[str, Any]:
+    return {name: patch for name, patch in changes.items() if patch}
+
+
+def _records(config: Config, section: str) -> Mapping[str, Any]:
+    records: Mapping[str, Any] = config[section]  # type: ignore[literal-required]
+    return records
+
+
+def _record_number(section: str, name: str, record: Any) -> int:
+    return _number([section, name, record])
+
+
+def _number(parts: list[Any]) -> int:
+    return xxhash.xxh3_128_intdigest(_ENCODER.encode(parts))
+
+
+def _text(total: int) -> str:
+    return f'{total % _MODULUS:032x}'
--- a/rosemaryweir/config/head.py
+++ b/rosemaryweir/config/head.py
@@ -13,12 +13,15 @@
 import msgspec
 from returns.result import Failure
 
+from rosemaryweir.config.chain import delta_key, small_delta
 from rosemaryweir.config.content import (
     chunk_key,
     digest_of,
     encode_config,
     split_chunks,
 )
+from rosemaryweir.config.delta import Held, held_of
+from rosemaryweir.config.loader import Loaded
 from rosemaryweir.config.note import (
     apply,
     check,
@@ -98,8 +101,9 @@
         ``announcing``, ``content``, ``writing`` or ``done``.
     outcome : Outcome or None
         What became of the note, once it is known.
-    config : Config or None
-        The configuration that the note makes.
+    made : Loaded or None
+        The configuration that the note makes, and how it differs from the one
+        before unless that is too large to say.
     withdrawn : list of str
         Failure domains that get no new work after it.
     """
@@ -108,7 +112,7 @@
         self.note: Any = note
         self.step = 'reading'
         self.outcome: Outcome | None = None
-        self.config: Config | None = None
+        self.made: Loaded | None = None
         self.withdrawn: list[str] = []
         self._topic = topic
         self._number = 0
@@ -116,7 +120,8 @@
         self._retry: float | None = None
         self._call = ''
         self._written = Written(0, empty_head())
-        self._chunks: list[bytes] = []
+        self._chunks: list[str] = []
+        self._objects: list[tuple[str, bytes]] = []
         self._digest = ''
         self._put = 0
         self._unsure = False
@@ -214,17 +219,31 @@
             self._finish(Outcome('malformed', findings=found))
             return
         self._plan = tuple(plan(self.note, config))
-        self.config = apply(self.note, config)
+        made = held_of(apply(self.note, config))
         self.withdrawn = withdrawn_domains(self.note)
-        content = encode_config(self.config)
-        self._digest = digest_of(content)
-        self._chunks = split_chunks(content)
+        self._prepare_content(made.config)
+        self._prepare_delta(config, made)
         self.step = 'announcing'
 
+    def _prepare_content(self, config: Config) -> None:
+        content = encode_config(config)
+        self._digest = digest_of(content)
+        chunks = split_chunks(content)
+        self._chunks = [
+            chunk_key(self._digest, index) for index in range(len(chunks))
+        ]
+        self._objects = list(zip(self._chunks, chunks, strict=True))
+
+    def _prepare_delta(self, before: Config, made: Held) -> None:
+        delta = small_delta(before, made)
+        self.made = Loaded(made, () if delta is None else (delta,))
+        if delta is not None:
+            key = delta_key(delta['digest'])
+            self._objects.append((key, msgspec.json.encode(delta)))
+
     def _put_content(self) -> Iterator[Action]:
-        if self._put < len(self._chunks):
-            key = chunk_key(self._digest, self._put)
-            content = self._chunks[self._put]
+        if self._put < len(self._objects):
+            key, content = self._objects[self._put]
             yield StorePut(self._new_call(), key, 0, content)
             return
         self.step = 'writing'
@@ -238,14 +257,13 @@
             note=self.note['note'],
             touched=touched_paths(self.note)[:TOUCHED_KEPT],
         )
+        if self.made is not None and self.made.deltas:
+            applied['digest'] = self.made.held.digest
         new = Head(
             generation=generation,
             note=self.note['note'],
             digest=self._digest,
-            chunks=[
-                chunk_key(self._digest, index)
-                for index in range(len(self._chunks))
-            ],
+            chunks=self._chunks,
             recent=[applied, *head.get('recent', ())][:RECENT_KEPT],
         )
         return StorePut(
--- /dev/null
+++ b/rosemaryweir/config/kept.py
@@ -0,0 +1,104 @@
+"""The configuration in force at an agent, ready to be passed on."""
+
+from collections.abc import Sequence
+
+from returns.result import Result
+
+from rosemaryweir.config.chain import Chain
+from rosemaryweir.config.content import digest_of, encode_config
+from rosemaryweir.config.delta import Held, held_of, take_chain
+from rosemaryweir.config.loader import Loaded
+from rosemaryweir.node.catalogue import register_event
+from rosemaryweir.node.state import NodeState
+from rosemaryweir.schema.generated.config import Config
+from rosemaryweir.schema.generated.control import Content, Delta
+
+__all__ = ['DELTA_REFUSED', 'Kept']
+
+DELTA_REFUSED = register_event(
+    502,
+    'config.delta_refused',
+    'warning',
+    'A change did not lead from the generation in force to what it promises; '
+    'nothing of it was applied, whole content is fetched.',
+)
+
+#: Size of the part of a configuration that one message carries.
+MESSAGE_BYTES = 64 * 1024
+
+
+class Kept:
+    """What is in force, the deltas that led there, and its text on demand."""
+
+    def __init__(self, state: NodeState) -> None:
+        self._state = state
+        self._chain = Chain()
+        self._held = held_of(state.config)
+        self._encoded: Config | None = None
+        self._digest = ''
+        self._parts: list[str] = []
+
+    def held(self) -> Held:
+        """Return the configuration in force with its sum."""
+        if self._held.config is not self._state.config:
+            self._held = held_of(self._state.config)
+        return self._held
+
+    def try_chain(self, deltas: Sequence[Delta]) -> Result[Loaded, str]:
+        """Return what deltas make of the configuration in force."""
+        generation = self._state.config['generation']
+        newer = tuple(
+            delta for delta in deltas if delta['generation'] > generation
+        )
+        return take_chain(newer, self.held()).map(
+            lambda made: Loaded(made, newer),
+        )
+
+    def put(self, loaded: Loaded) -> bool:
+        """Put a configuration in force; return whether it was newer."""
+        if loaded.generation <= self._state.config['generation']:
+            return False
+        self._state.take_config(loaded.held.config)
+        self._held = loaded.held
+        if not loaded.deltas:
+            self._chain.cut()
+        self._chain.add(loaded.deltas)
+        return True
+
+    def since(self, generation: int) -> list[Delta]:
+        """Return deltas that follow a generation; empty: there are none."""
+        return self._chain.since(generation)
+
+    def text(self) -> str:
+        """Return the whole configuration as JSON."""
+        self._encode()
+        return ''.join(self._parts)
+
+    def content(self, chunk: int) -> Content | None:
+        """Return one part of the whole configuration; None past its end."""
+        self._encode()
+        if chunk >= len(self._parts):
+            return None
+        config = self._state.config
+        return Content(
+            kind='content',
+            generation=config['generation'],
+            digest=self._digest,
+            note=config['note'],
+            chunk=chunk,
+            chunks=len(self._parts),
+            content=self._parts[chunk],
+        )
+
+    def _encode(self) -> None:
+        config = self._state.config
+        if self._encoded is config:
+            return
+        content = encode_config(config)
+        text = content.decode()
+        self._encoded = config
+        self._digest = digest_of(content)
+        self._parts = [
+            text[start : start + MESSAGE_BYTES]
+            for start in range(0, len(text), MESSAGE_BYTES)
+        ]
--- a/rosemaryweir/config/loader.py
+++ b/rosemaryweir/config/loader.py
@@ -6,16 +6,22 @@
 import msgspec
 
 from rosemaryweir.config.content import decode_config, join_chunks
-from rosemaryweir.schema.generated.config import Config
+from rosemaryweir.config.delta import Held, held_of
+from rosemaryweir.schema.generated.control import Delta
 
 __all__ = ['Loaded', 'Loader']
 
 
 class Loaded(NamedTuple):
-    """A configuration with the digest of its content."""
+    """A configuration, and the deltas that led to it; none: it came whole."""
 
-    config: Config
-    digest: str
+    held: Held
+    deltas: tuple[Delta, ...] = ()
+
+    @property
+    def generation(self) -> int:
+        """Its generation."""
+        return self.held.config['generation']
 
 
 class Loader:
@@ -65,7 +71,7 @@
         except msgspec.MsgspecError:
             return None
         fits = config['generation'] == generation
-        return Loaded(config, digest) if fits else None
+        return Loaded(held_of(config)) if fits else None
 
     def drop(self) -> None:
         """Forget what has come, so that it can be fetched anew."""
--- a/rosemaryweir/config/note.py
+++ b/rosemaryweir/config/note.py
@@ -5,12 +5,13 @@
 findings of all three are reported together.
 """
 
-import copy
 from collections.abc import Iterator, Mapping
 from typing import Any, cast
 
+import msgspec
 from returns.result import Failure, Result, Success
 
+from rosemaryweir.config.delta import SECTION_TYPES
 from rosemaryweir.config.note_schema import schema_findings
 from rosemaryweir.config.references import reference_findings
 from rosemaryweir.exception import Finding, InvalidInput
@@ -28,7 +29,7 @@
 ]
 
 #: Sections of a configuration that notes change.
-SECTIONS = ('services', 'targets', 'domains', 'classes', 'tenants')
+SECTIONS = tuple(SECTION_TYPES)
 
 Findings = tuple[Finding, ...]
 
@@ -67,6 +68,8 @@
         *_base_findings(typed, config),
         *_name_findings(typed, config),
     )
+    if not found:
+        found = tuple(_type_findings(typed, config))
     if not found:
         found = tuple(reference_findings(_merge(typed, config), config))
     return Failure(found) if found else Success(typed)
@@ -133,23 +136,52 @@
     return sorted({*turned_out, *gone})
 
 
+def _type_findings(note: ReleaseNote, config: Config) -> Iterator[Finding]:
+    """Yield records that no node could read back, such as 1.0 for an integer.
+
+    JSON Schema takes 1.0 for an integer; the typed decoder doesn't.
+    """
+    for section, kind in SECTION_TYPES.items():
+        known: Mapping[str, Any] = config[section]  # type: ignore[literal-required]
+        for part in ('added', 'changed'):
+            for name, record in _section(note, part, section).items():
+                whole = {**known.get(name, {}), **record}
+                path = f'$.{part}.{section}.{name}'
+                yield from _record_findings(path, whole, kind)
+
+
+def _record_findings(path: str, record: Any, kind: Any) -> Iterator[Finding]:
+    try:
+        _typed(record, kind)
+    except msgspec.ValidationError as exc:
+        yield Finding(path, str(exc), 'use the type that the schema names')
+
+
 def _merge(note: ReleaseNote, config: Config) -> Config:
-    merged = cast(dict[str, Any], copy.deepcopy(config))
+    """Return the result; records that a note leaves alone are shared."""
+    merged = cast(dict[str, Any], dict(config))
     merged.update(
         generation=config['generation'] + 1,
         note=note['note'],
         format=note['format'],
     )
-    for section in SECTIONS:
-        records = merged[section]
+    for section, kind in SECTION_TYPES.items():
+        records = dict(merged[section])
         for name in _section(note, 'withdrawn', section):
             records.pop(name)
         for name, change in _section(note, 'changed', section).items():
-            records[name] = {**records[name], **change}
-        records.update(copy.deepcopy(_section(note, 'added', section)))
+            records[name] = _typed({**records[name], **change}, kind)
+        for name, record in _section(note, 'added', section).items():
+            records[name] = _typed(record, kind)
+        merged[section] = records
     return cast(Config, merged)
 
 
+def _typed(record: Any, kind: Any) -> Any:
+    """Return a record as every reader of its JSON will hold it."""
+    return msgspec.json.decode(msgspec.json.encode(record), type=kind)
+
+
 def _section(note: ReleaseNote, part: str, section: str) -> Any:
     empty: Any = [] if part == 'withdrawn' else {}
     return cast(Mapping[str, Any], note).get(part, {}).get(section, empty)
--- a/rosemaryweir/config/note_service.py
+++ b/rosemaryweir/config/note_service.py
@@ -296,8 +296,8 @@
         )
         if current is not None and not self._answered:
             yield _answer(current.req, writer, outcome)
-        if outcome.state == 'accepted' and writer.config is not None:
-            self.control.accepted.append(writer.config)
+        if outcome.state == 'accepted' and writer.made is not None:
+            self.control.arrived.append(writer.made)
         if self._intent:
             accepted = outcome.state == 'accepted'
             self.control.intents.settle(self._intent)
--- /dev/null
+++ b/rosemaryweir/config/relay.py
@@ -0,0 +1,130 @@
+"""Configuration from agent to agent: changes if they lead there, or all."""
+
+from collections.abc import Iterator
+from random import Random
+
+from returns.result import Failure
+
+from rosemaryweir.config.kept import DELTA_REFUSED
+from rosemaryweir.config.loader import Loader
+from rosemaryweir.membership.control import control_of
+from rosemaryweir.node.action import Action, LogEvent, SendPeer
+from rosemaryweir.node.event import PeerMessage
+from rosemaryweir.node.part import Part, handles, part_of
+from rosemaryweir.node.state import NodeState
+from rosemaryweir.schema.generated.control import (
+    Content,
+    Deltas,
+    Fetch,
+    Known,
+)
+
+__all__ = ['ConfigRelay']
+
+#: Pause before content is asked for again, in seconds.
+REFETCH_S = 0.3
+
+#: Time after which an unsent message is worth nothing, in seconds.
+SEND_S = 0.5
+
+
+@part_of('agent')
+class ConfigRelay(Part):
+    """Fetch what a peer has and this VM lacks; send what a peer lacks."""
+
+    def __init__(self, state: NodeState, rng: Random) -> None:
+        super().__init__(state, rng)
+        self.control = control_of(state)
+        self._passed = Loader()
+        self._refetch = 0.0
+
+    @handles(PeerMessage, 'heartbeat')
+    @handles(PeerMessage, 'ack')
+    def follow(self, event: PeerMessage, now: float) -> Iterator[Action]:
+        """Fetch a configuration that a peer has and this VM lacks."""
+        known: Known = event.message['known']
+        newer = known['generation'] > self.state.config['generation']
+        if newer and now >= self._refetch:
+            self._refetch = now + REFETCH_S
+            fetch = self._fetch(0)
+            fetch['deltas'] = True
+            yield SendPeer(
+                event.sender,
+                known['agent_peer'],
+                fetch,
+                now + SEND_S,
+            )
+
+    @handles(PeerMessage, 'fetch')
+    def pass_on(self, event: PeerMessage, now: float) -> Iterator[Action]:
+        """Send a peer the changes that it lacks, or a part of the whole."""
+        fetch: Fetch = event.message  # type: ignore[assignment]
+        generation = fetch['generation']
+        if generation >= self.state.config['generation']:
+            return
+        kept = self.control.kept
+        deltas = kept.since(generation) if fetch.get('deltas') else []
+        if deltas:
+            changes = Deltas(kind='deltas', deltas=deltas)
+            yield from self._to_peer(event.sender, changes, now)
+            return
+        content = kept.content(fetch['chunk'])
+        if content is not None:
+            yield from self._to_peer(event.sender, content, now)
+
+    @handles(PeerMessage, 'deltas')
+    def take_deltas(self, event: PeerMessage, now: float) -> Iterator[Action]:
+        """Take changes; ask for whole content when they lead nowhere."""
+        deltas: Deltas = event.message  # type: ignore[assignment]
+        made = self.control.kept.try_chain(deltas['deltas'])
+        if isinstance(made, Failure):
+            details = {'source': event.sender, 'reason': made.failure()}
+            yield LogEvent(DELTA_REFUSED, details)
+            self._refetch = now + REFETCH_S
+            yield from self._to_peer(event.sender, self._fetch(0), now)
+            return
+        loaded = made.unwrap()
+        if loaded.deltas:
+            self._refetch = now
+            self.control.arrived.append(loaded)
+
+    @handles(PeerMessage, 'content')
+    def take_content(self, event: PeerMessage, now: float) -> Iterator[Action]:
+        """Take one part of a configuration; ask for the next."""
+        content: Content = event.message  # type: ignore[assignment]
+        if content['generation'] <= self.state.config['generation']:
+            return
+        digest = content['digest']
+        self._passed.want(content['generation'], digest, content['chunks'])
+        loaded = self._passed.put(
+            digest,
+            content['chunk'],
+            content['content'].encode(),
+        )
+        if loaded is not None:
+            self.control.arrived.append(loaded)
+            return
+        missing = next(self._passed.missing(), None)
+        if missing is not None:
+            self._refetch = now + REFETCH_S
+            fetch = self._fetch(missing)
+            yield from self._to_peer(event.sender, fetch, now)
+
+    def _fetch(self, chunk: int) -> Fetch:
+        return Fetch(
+            kind='fetch',
+            generation=self.state.config['generation'],
+            chunk=chunk,
+            views=dict(self.state.view_versions()),
+        )
+
+    def _to_peer(
+        self,
+        sender: str,
+        message: Content | Deltas | Fetch,
+        now: float,
+    ) -> Iterator[SendPeer]:
+        member = self.control.roster.member(sender.partition('/')[0])
+        if member is not None:
+            address = member['agent_peer']
+            yield SendPeer(sender, address, message, now + SEND_S)
--- a/rosemaryweir/config/service.py
+++ b/rosemaryweir/config/service.py
@@ -5,11 +5,13 @@
 from typing import Any
 
 import msgspec
+from returns.result import Failure
 
 from rosemaryweir.config import note_service
-from rosemaryweir.config.content import digest_of, encode_config
+from rosemaryweir.config.chain import ChainFetch, delta_key, links_after
 from rosemaryweir.config.fence import HEAD
 from rosemaryweir.config.head import HEAD_KEY, decode_head
+from rosemaryweir.config.kept import DELTA_REFUSED
 from rosemaryweir.config.loader import Loaded, Loader
 from rosemaryweir.membership.calls import Calls
 from rosemaryweir.membership.control import control_of
@@ -35,11 +37,8 @@
 from rosemaryweir.node.state import NodeState
 from rosemaryweir.schema.generated.control import (
     Configured,
-    Content,
-    Fetch,
     Head,
     Hello,
-    Known,
 )
 
 __all__ = ['ConfigService', 'note_service']
@@ -71,11 +70,8 @@
 #: Calls without answer beyond which no further one is made.
 OUTSTANDING = 4
 
-#: Pause before content is asked for again, in seconds.
-REFETCH_S = 0.3
-
-#: Size of the part of a configuration that one message carries.
-MESSAGE_BYTES = 64 * 1024
+#: What a read of a delta is about, before its digest.
+DELTA = 'delta/'
 
 #: Time after which an unsent message is worth nothing, in seconds.
 SEND_S = 0.5
@@ -90,29 +86,27 @@
         self.control = control_of(state)
         self._calls = Calls(TOPIC)
         self._stored = Loader()
-        self._passed = Loader()
+        self._links = ChainFetch()
+        self._head: Head | None = None
+        self._unlinked = 0
         self._due = 0.0
-        self._refetch = 0.0
         self._watch = ''
-        self._parts: list[str] = []
-        self._roles: set[str] = set()
+        self._roles: dict[str, Hello] = {}
 
     def next_wake(self) -> float | None:
         """Return the time of the next read."""
-        return 0.0 if self.control.accepted else self._due
+        return 0.0 if self.control.arrived else self._due
 
     def wake(self, now: float) -> Iterator[Action]:
-        """Put accepted notes in force; read the head if it is due."""
-        while self.control.accepted:
-            config = self.control.accepted.pop(0)
-            digest = digest_of(encode_config(config))
-            yield from self.put_in_force(Loaded(config, digest), now)
+        """Put in force what has arrived; read the head if it is due."""
+        while self.control.arrived:
+            yield from self.put_in_force(self.control.arrived.pop(0), now)
         if now >= self._due:
             yield from self._read_head(now)
 
     @handles(StoreReply, TOPIC)
     def take_reply(self, event: StoreReply, now: float) -> Iterator[Action]:
-        """Take the head, or a chunk that it names."""
+        """Take the head, or a delta or a chunk that it names."""
         call = self._calls.finish(event.call)
         if call is None:
             return
@@ -124,6 +118,9 @@
                 call.sent,
             )
             self.control.unwritten.extend(unwritten)
+        elif call.subject.startswith(DELTA):
+            digest = call.subject.removeprefix(DELTA)
+            yield from self._take_link(digest, event, now)
         else:
             yield from self._take_chunk(event, now)
 
@@ -133,6 +130,7 @@
         call = self._calls.finish(event.call)
         if call is not None and call.subject != HEAD_KEY:
             self._stored.drop()
+            self._links.drop()
         if event.call == self._watch:
             self._watch = ''
         return ()
@@ -149,76 +147,15 @@
             self._watch = ''
         return ()
 
-    @handles(PeerMessage, 'heartbeat')
-    @handles(PeerMessage, 'ack')
-    def follow(self, event: PeerMessage, now: float) -> Iterator[Action]:
-        """Fetch a configuration that a peer has and this VM lacks."""
-        known: Known = event.message['known']
-        newer = known['generation'] > self.state.config['generation']
-        if newer and now >= self._refetch:
-            self._refetch = now + REFETCH_S
-            yield self._fetch(event.sender, known['agent_peer'], 0, now)
-
-    @handles(PeerMessage, 'fetch')
-    def pass_on(self, event: PeerMessage, now: float) -> Iterator[Action]:
-        """Send a peer one part of the configuration in force."""
-        fetch: Fetch = event.message  # type: ignore[assignment]
-        vm = event.sender.partition('/')[0]
-        member = self.control.roster.member(vm)
-        config = self.state.config
-        if member is None or fetch['generation'] >= config['generation']:
-            return
-        if fetch['chunk'] >= len(self._parts):
-            return
-        content = Content(
-            kind='content',
-            generation=config['generation'],
-            digest=self.control.digest,
-            note=config['note'],
-            chunk=fetch['chunk'],
-            chunks=len(self._parts),
-            content=self._parts[fetch['chunk']],
-        )
-        yield SendPeer(
-            event.sender,
-            member['agent_peer'],
-            content,
-            now + SEND_S,
-        )
-
-    @handles(PeerMessage, 'content')
-    def take_content(self, event: PeerMessage, now: float) -> Iterator[Action]:
-        """Take one part of a configuration; ask for the next."""
-        content: Content = event.message  # type: ignore[assignment]
-        if content['generation'] <= self.state.config['generation']:
-            return
-        digest = content['digest']
-        self._passed.want(content['generation'], digest, content['chunks'])
-        loaded = self._passed.put(
-            digest,
-            content['chunk'],
-            content['content'].encode(),
-        )
-        if loaded is not None:
-            yield from self.put_in_force(loaded, now)
-            return
-        vm = event.sender.partition('/')[0]
-        member = self.control.roster.member(vm)
-        missing = next(self._passed.missing(), None)
-        if member is not None and missing is not None:
-            self._refetch = now + REFETCH_S
-            address = member['agent_peer']
-            yield self._fetch(event.sender, address, missing, now)
-
     @handles(PeerMessage, 'hello')
     def configure(self, event: PeerMessage, now: float) -> Iterator[Action]:
         """Bring a process of the VM up to date."""
         hello: Hello = event.message  # type: ignore[assignment]
         if event.sender.partition('/')[0] != self.state.uid.vm:
             return
-        self._roles.add(hello['role'])
+        self._roles[hello['role']] = hello
         if hello['generation'] < self.state.config['generation']:
-            yield self._configured(hello['role'], now)
+            yield self._configured(hello, now)
 
     @handles(CallerRequest, 'config')
     def show(self, event: CallerRequest, now: float) -> Iterator[Action]:
@@ -227,23 +164,16 @@
 
     def put_in_force(self, loaded: Loaded, now: float) -> Iterator[Action]:
         """Put a newer configuration in force, here and in the VM."""
-        config = loaded.config
-        if config['generation'] <= self.state.config['generation']:
-            return
-        self.state.take_config(config)
         control = self.control
-        control.told = max(control.told, config['generation'])
-        control.digest = loaded.digest
-        control.intents.settle_generation(config['generation'])
+        if not control.kept.put(loaded):
+            return
+        generation = loaded.generation
+        control.told = max(control.told, generation)
+        control.intents.settle_generation(generation)
         control.urgent = True
-        text = encode_config(config).decode()
-        self._parts = [
-            text[start : start + MESSAGE_BYTES]
-            for start in range(0, len(text), MESSAGE_BYTES)
-        ]
-        yield LogEvent(CONFIG_IN_FORCE, {'generation': config['generation']})
-        for role in sorted(self._roles):
-            yield self._configured(role, now)
+        yield LogEvent(CONFIG_IN_FORCE, {'generation': generation})
+        for _, hello in sorted(self._roles.items()):
+            yield self._configured(hello, now)
 
     def status(self, now: float) -> Mapping[str, Any]:
         """Return what is in force and how fresh the knowledge of it is."""
@@ -294,12 +224,48 @@
         self.control.told = max(self.control.told, generation)
         if generation <= self.state.config['generation']:
             return
+        self._head = head
+        links = links_after(head, self.state.config['generation'])
+        if links is None or generation == self._unlinked:
+            yield from self._load_whole(head, now)
+            return
+        for digest in self._links.want(links):
+            call = self._calls.start(f'{DELTA}{digest}', now)
+            yield StoreGet(call, delta_key(digest))
+
+    def _load_whole(self, head: Head, now: float) -> Iterator[Action]:
         chunks = head['chunks']
+        generation = head['generation']
         if self._stored.want(generation, head['digest'], len(chunks)):
             for index, key in enumerate(chunks):
                 subject = f'{head["digest"]}/{index}'
                 yield StoreGet(self._calls.start(subject, now), key)
 
+    def _take_link(
+        self,
+        digest: str,
+        event: StoreReply,
+        now: float,
+    ) -> Iterator[Action]:
+        found = event.objects[0] if event.objects else None
+        if found is None or not self._links.put(digest, found.content):
+            yield from self._refuse_chain('missing link', now)
+            return
+        made = self.control.kept.try_chain(self._links.whole())
+        if isinstance(made, Failure):
+            yield from self._refuse_chain(made.failure(), now)
+        elif made.unwrap().deltas:
+            yield from self.put_in_force(made.unwrap(), now)
+
+    def _refuse_chain(self, reason: str, now: float) -> Iterator[Action]:
+        """Fetch whole content instead, for as long as this head is newest."""
+        yield LogEvent(DELTA_REFUSED, {'source': 'store', 'reason': reason})
+        self._links.drop()
+        head = self._head
+        if head is not None:
+            self._unlinked = head['generation']
+            yield from self._load(head, now)
+
     def _take_chunk(
         self,
         event: StoreReply,
@@ -314,28 +280,21 @@
         if loaded is not None:
             yield from self.put_in_force(loaded, now)
 
-    def _fetch(
-        self,
-        sender: str,
-        address: str,
-        chunk: int,
-        now: float,
-    ) -> SendPeer:
-        fetch = Fetch(
-            kind='fetch',
-            generation=self.state.config['generation'],
-            chunk=chunk,
-            views=dict(self.state.view_versions()),
-        )
-        return SendPeer(sender, address, fetch, now + SEND_S)
-
-    def _configured(self, role: str, now: float) -> SendPeer:
+    def _configured(self, hello: Hello, now: float) -> SendPeer:
         addresses = self.state.settings['addresses']
+        role = hello['role']
+        kept = self.control.kept
         configured = Configured(
             kind='configured',
             generation=self.state.config['generation'],
-            content=''.join(self._parts),
+            content='',
         )
+        deltas = kept.since(hello['generation']) if hello.get('deltas') else []
+        if deltas:
+            configured['generation'] = deltas[-1]['generation']
+            configured['deltas'] = deltas
+        else:
+            configured['content'] = kept.text()
         return SendPeer(
             f'{self.state.uid.vm}/{role}',
             addresses['entry_peer' if role == 'entry' else 'leaf_peer'],
--- /dev/null
+++ b/rosemaryweir/config/tests/test_delta.py
@@ -0,0 +1,179 @@
+"""Deltas: what a note makes follows from them, or nothing does."""
+
+import hypothesis.strategies as st
+import msgspec
+import pytest
+from hypothesis import given, settings
+
+from rosemaryweir.config.chain import CHAIN_KEPT, Chain, ChainFetch
+from rosemaryweir.config.content import decode_config, encode_config
+from rosemaryweir.config.delta import difference, follow, held_of, take_chain
+from rosemaryweir.config.note import apply, check
+from rosemaryweir.node.state import empty_config
+
+NAMES = st.sampled_from(['a', 'b', 'c'])
+TENANTS = st.fixed_dictionaries(
+    {'weight': st.integers(1, 9)},
+    optional={'queue': st.integers(1, 9)},
+)
+SHARDS = st.dictionaries(
+    NAMES,
+    st.fixed_dictionaries({'targets': st.lists(NAMES, min_size=1)}),
+)
+SERVICES = st.fixed_dictionaries(
+    {
+        'work': st.sampled_from(['query', 'order']),
+        'slots': st.integers(1, 9),
+        'connections': st.just(3),
+        'connect_ms': st.floats(0, 9),
+        'cold_slots': st.just(1),
+        'warm_after': st.just(5),
+        'layout': st.integers(1, 9),
+        'shards': SHARDS,
+    },
+)
+CONFIGS = st.builds(
+    lambda tenants, services: {
+        **empty_config(),
+        'tenants': tenants,
+        'services': services,
+    },
+    st.dictionaries(NAMES, TENANTS),
+    st.dictionaries(NAMES, SERVICES),
+)
+
+
+def chain_of(configs):
+    """Return numbered configurations and the deltas between them."""
+    numbered = [
+        {**config, 'generation': number, 'note': f'n-{number}'}
+        for number, config in enumerate(configs)
+    ]
+    deltas = [
+        difference(before, held_of(after))
+        for before, after in zip(numbered, numbered[1:], strict=False)
+    ]
+    return numbered, deltas
+
+
+def weights(count):
+    return [
+        {**empty_config(), 'tenants': {'a': {'weight': 1 + number}}}
+        for number in range(count)
+    ]
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.lists(CONFIGS, min_size=2, max_size=5))
+def test_chain_makes_what_it_was_made_from(configs):
+    numbered, deltas = chain_of(configs)
+    before = encode_config(numbered[0])
+    made = take_chain(deltas, held_of(numbered[0])).unwrap()
+    assert made.config == numbered[-1]
+    assert made == held_of(decode_config(encode_config(numbered[-1])))
+    assert encode_config(numbered[0]) == before
+
+
+@pytest.mark.parametrize(
+    ('field', 'wrong', 'reason'),
+    [
+        ('digest', '0' * 32, 'digest'),
+        ('note', 'another', 'digest'),
+        ('changes', '{"tenants":{"a":{"weight":8}}}', 'digest'),
+        ('changes', '{"tenants":{"a":{"weight":"x"}}}', 'unreadable'),
+        ('changes', '{"tenants":{"z":null}}', 'unreadable'),
+        ('changes', '{"generation":{"a":{}}}', 'unreadable'),
+        ('changes', '{', 'unreadable'),
+        ('generation', 3, 'missing link'),
+    ],
+)
+def test_wrong_delta_is_refused(field, wrong, reason):
+    numbered, (delta,) = chain_of(weights(2))
+    held = held_of(numbered[0])
+    assert follow({**delta, field: wrong}, held).failure() == reason
+    assert held == held_of(numbered[0])
+
+
+def test_chain_with_one_wrong_step_makes_nothing():
+    numbered, deltas = chain_of(weights(4))
+    deltas[2] = {**deltas[2], 'digest': deltas[1]['digest']}
+    assert take_chain(deltas, held_of(numbered[0])).failure() == 'digest'
+    del deltas[1]
+    assert take_chain(deltas, held_of(numbered[0])).failure() == 'missing link'
+
+
+def test_steps_that_are_held_already_are_passed_over():
+    numbered, deltas = chain_of(weights(4))
+    made = take_chain(deltas, held_of(numbered[2])).unwrap()
+    assert made.config == numbered[3]
+    assert take_chain(deltas, made).unwrap() == made
+
+
+def test_chain_is_bounded_and_has_no_gap():
+    _, deltas = chain_of(weights(CHAIN_KEPT + 4))
+    chain = Chain()
+    chain.add(deltas)
+    assert chain.since(2) == []
+    assert chain.since(3) == deltas[3:]
+    chain.add([{**deltas[-1], 'generation': 99}])
+    assert chain.since(3) == []
+    assert len(chain.since(98)) == 1
+    chain.cut()
+    assert chain.since(98) == []
+
+
+def test_message_carries_a_bounded_part_of_the_chain():
+    _, deltas = chain_of(weights(5))
+    large = [{**delta, 'changes': 'x' * 30_000} for delta in deltas]
+    chain = Chain()
+    chain.add(large)
+    assert chain.since(0) == large[:2]
+
+
+def test_longer_chain_reads_only_what_is_not_under_way():
+    _, deltas = chain_of(weights(4))
+    links = [
+        {'generation': delta['generation'], 'digest': delta['digest']}
+        for delta in deltas
+    ]
+    fetch = ChainFetch()
+    assert len(fetch.want(links[:2])) == 2
+    assert fetch.put(links[0]['digest'], msgspec.json.encode(deltas[0]))
+    assert fetch.want(links) == [links[2]['digest']]
+    for link, delta in zip(links[1:], deltas[1:], strict=True):
+        assert fetch.whole() == []
+        assert fetch.put(link['digest'], msgspec.json.encode(delta))
+    assert fetch.whole() == deltas
+    assert not fetch.put(links[0]['digest'], msgspec.json.encode(deltas[1]))
+    assert not fetch.put(links[0]['digest'], b'x')
+
+
+def test_numbers_are_kept_as_every_reader_holds_them():
+    shard = {'targets': ['t-1']}
+    note = {
+        'note': 'n-1',
+        'format': 1,
+        'base': 0,
+        'added': {
+            'domains': {'d': {'region': 'r', 'state': 'in'}},
+            'targets': {'t-1': {'address': '127.0.0.1:80', 'domain': 'd'}},
+            'services': {
+                's': {
+                    'work': 'query',
+                    'slots': 1,
+                    'connections': 1,
+                    'connect_ms': 5,
+                    'cold_slots': 1,
+                    'warm_after': 1,
+                    'layout': 1,
+                    'shards': {'s-1': shard},
+                },
+            },
+        },
+    }
+    made = held_of(apply(note, empty_config()))
+    assert held_of(decode_config(encode_config(made.config))) == made
+    note['added']['services']['s']['slots'] = 1.0
+    (finding,) = check(note, empty_config()).failure()
+    assert finding.path == '$.added.services.s'
+    assert 'Expected `int`' in finding.problem
--- a/rosemaryweir/membership/agent_client.py
+++ b/rosemaryweir/membership/agent_client.py
@@ -1,11 +1,13 @@
 """The agent's client: lease, configuration and views of an entry or leaf."""
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 from random import Random
 from typing import Any, NamedTuple
 
 import msgspec
+from returns.result import Failure
 
+from rosemaryweir.config.delta import Held, held_of, take_chain
 from rosemaryweir.membership.timing import HELLO_S
 from rosemaryweir.node.action import Action, LogEvent, SendPeer
 from rosemaryweir.node.catalogue import register_event
@@ -15,6 +17,7 @@
 from rosemaryweir.schema.generated.config import Config
 from rosemaryweir.schema.generated.control import (
     Configured,
+    Delta,
     Grant,
     Hello,
     Viewed,
@@ -42,6 +45,14 @@
     'The reason of the lease changed; `fenced` means that no new work starts.',
 )
 
+DELTA_REFUSED = register_event(
+    603,
+    'client.delta_refused',
+    'warning',
+    'A change of the configuration did not lead to what it promises; nothing '
+    'of it was applied, the agent is asked for the whole.',
+)
+
 #: Hellos that a grant may still answer.
 HELLOS_KEPT = 16
 
@@ -72,6 +83,8 @@
         self._taken = 0
         self._sent: dict[int, float] = {}
         self._granted = Granted()
+        self._held = held_of(state.config)
+        self._takes_deltas = True
         self._due = 0.0
 
     def next_wake(self) -> float | None:
@@ -112,14 +125,15 @@
         known = self.state.config['generation']
         if message['generation'] <= known or not self._is_agent(event):
             return
+        if 'deltas' in message:
+            yield from self._take_deltas(message['deltas'], now)
+            return
         try:
             config = msgspec.json.decode(message['content'], type=Config)
         except msgspec.MsgspecError as exc:
             yield LogEvent(CONFIG_UNREADABLE, {'error': str(exc)})
             return
-        self.state.take_config(config)
-        yield LogEvent(CONFIG_TAKEN, {'generation': config['generation']})
-        yield from self._renew()
+        yield from self._put_in_force(held_of(config))
 
     @handles(PeerMessage, 'viewed')
     def take_views(self, event: PeerMessage, now: float) -> Iterable[Action]:
@@ -138,6 +152,29 @@
             'suspended': sorted(self.state.suspended),
         }
 
+    def _take_deltas(
+        self,
+        deltas: Sequence[Delta],
+        now: float,
+    ) -> Iterator[Action]:
+        if self._held.config is not self.state.config:
+            self._held = held_of(self.state.config)
+        made = take_chain(deltas, self._held)
+        if isinstance(made, Failure):
+            self._takes_deltas = False
+            yield LogEvent(DELTA_REFUSED, {'reason': made.failure()})
+            yield self._hello(now)
+            return
+        yield from self._put_in_force(made.unwrap())
+
+    def _put_in_force(self, held: Held) -> Iterator[Action]:
+        self._held = held
+        self._takes_deltas = True
+        self.state.take_config(held.config)
+        generation = held.config['generation']
+        yield LogEvent(CONFIG_TAKEN, {'generation': generation})
+        yield from self._renew()
+
     def _renew(self) -> Iterator[Action]:
         before = self.state.lease.reason
         if self._granted.generation > self.state.config['generation']:
@@ -168,6 +205,7 @@
             load=state.load,
             in_flight=state.in_flight,
             leaving=state.leaving,
+            deltas=self._takes_deltas,
         )
         return SendPeer(
             f'{state.uid.vm}/agent',
--- a/rosemaryweir/membership/control.py
+++ b/rosemaryweir/membership/control.py
@@ -5,13 +5,14 @@
 
 from rosemaryweir.config.fence import HEAD, Fence, Permission
 from rosemaryweir.config.intents import Intents
+from rosemaryweir.config.kept import Kept
+from rosemaryweir.config.loader import Loaded
 from rosemaryweir.membership.directory_choice import Heard
 from rosemaryweir.membership.ranks import WATCHERS, rank_of
 from rosemaryweir.membership.roster import Roster
 from rosemaryweir.membership.succession import Succession
 from rosemaryweir.membership.timing import clock_skew
 from rosemaryweir.node.state import NodeState
-from rosemaryweir.schema.generated.config import Config
 from rosemaryweir.schema.generated.control import Member, Pulse, View
 
 __all__ = ['Control', 'control_of', 'own_member']
@@ -42,14 +43,14 @@
         The latest that each VM said of itself.
     told : int
         The highest generation that was heard of.
-    digest : str
-        Digest of the configuration in force.
     leaving, departed : bool
         Whether this VM is leaving; whether it is about to end.
     urgent : bool
         Whether others should be told of a change at once.
-    accepted : list of Config
-        Configurations that a note written here has made.
+    kept : Kept
+        The configuration in force, ready to be passed on.
+    arrived : list of Loaded
+        Configurations to be put in force, of peers or of a note written here.
     unwritten : list of str
         Intents that turned out not to be written; others are to be told.
     """
@@ -62,11 +63,11 @@
         self.intents = Intents()
         self.heard: dict[str, Heard] = {}
         self.told = 0
-        self.digest = ''
         self.leaving = False
         self.departed = False
         self.urgent = False
-        self.accepted: list[Config] = []
+        self.kept = Kept(state)
+        self.arrived: list[Loaded] = []
         self.unwritten: list[str] = []
         self._own_domains = [state.settings['domain']]
         self._counted_at = 0.0
--- a/rosemaryweir/membership/service.py
+++ b/rosemaryweir/membership/service.py
@@ -366,6 +366,7 @@
             generation=self.state.config['generation'],
             chunk=0,
             views=dict(self.state.view_versions()),
+            deltas=True,
         )
         return _to_peer(known['vm'], known['agent_peer'], fetch, now)
 
