Entry takes no new connections once answers that name it have expired

Cause: after SIGTERM the entry's listener stood open until the process ended; with an order of unknown outcome in flight that is up to 23 s, and callers could connect all the while.

Change: the directory part asks the driver to stop listening at the time from which nobody is told to come (8.5 s). Open connections end with their next answer, which says connection: close; work in flight completes, exit 0. The virtual cluster refuses callers of a closed listener likewise.

--- a/rosemaryweir/daemons/driver.py
+++ b/rosemaryweir/daemons/driver.py
@@ -25,6 +25,7 @@
     ReplyCaller,
     SendPeer,
     SendTarget,
+    StopListening,
     StoreDelete,
     StoreGet,
     StoreList,
@@ -126,11 +127,13 @@
         peer: Peer,
         store: Store,
         target: Target,
+        stop_listening: Carrier,
     ) -> None:
         """Connect the ports that carry out actions."""
         carriers: Mapping[type[Action], Carrier] = {
             ReplyCaller: reply,
             SendPeer: peer.send,
+            StopListening: stop_listening,
             **dict.fromkeys(_STORE_CALLS, store.call),
             **dict.fromkeys(_TARGET_CALLS, target.call),
         }
--- a/rosemaryweir/daemons/process.py
+++ b/rosemaryweir/daemons/process.py
@@ -92,6 +92,7 @@
             self.peers,
             self._store,
             self._targets,
+            self._callers.stop_listening,
         )
 
     async def start(self) -> None:
--- a/rosemaryweir/membership/directory.py
+++ b/rosemaryweir/membership/directory.py
@@ -6,7 +6,7 @@
 
 from rosemaryweir.membership.directory_choice import Heard, choose_vms
 from rosemaryweir.membership.timing import DIRECTORY_TTL_S, HELLO_S, PULSE_S
-from rosemaryweir.node.action import Action, ReplyCaller
+from rosemaryweir.node.action import Action, ReplyCaller, StopListening
 from rosemaryweir.node.event import CallerRequest, PeerMessage, ShutdownAsked
 from rosemaryweir.node.part import Part, handles, part_of
 from rosemaryweir.node.state import NodeState
@@ -40,7 +40,8 @@
     From the moment a shutdown is asked this VM names itself no more.  Other
     VMs name it while their news of it is younger than `PULSE_S`; their
     callers keep that answer for the time to live.  Until both have passed the
-    part is busy, so that the entry still serves.
+    part is busy, so that the entry still serves; then it takes no new
+    connections, and the node ends when its work in flight has.
     """
 
     def __init__(self, state: NodeState, rng: Random) -> None:
@@ -53,10 +54,11 @@
         return self._unnamed
 
     def wake(self, now: float) -> Iterable[Action]:
-        """Do nothing: the wake lets the node see that it may exit."""
-        if self._unnamed is not None and now >= self._unnamed:
-            self._unnamed = None
-        return ()
+        """Take no new connections once no caller is told to come here."""
+        if self._unnamed is None or now < self._unnamed:
+            return ()
+        self._unnamed = None
+        return (StopListening(),)
 
     def busy(self, now: float) -> bool:
         """Return whether a caller may still hold an answer naming this VM."""
--- a/rosemaryweir/node/action.py
+++ b/rosemaryweir/node/action.py
@@ -24,6 +24,7 @@
     'ReplyCaller',
     'SendPeer',
     'SendTarget',
+    'StopListening',
     'StoreDelete',
     'StoreGet',
     'StoreList',
@@ -188,6 +189,10 @@
     tags: Mapping[str, str]
 
 
+class StopListening(NamedTuple):
+    """Take no new connections of callers; serve those that are open."""
+
+
 class Exit(NamedTuple):
     """The node has nothing left to do: end the process."""
 
@@ -211,5 +216,6 @@
     | ListPlatform
     | LogEvent
     | Metric
+    | StopListening
     | Exit
 )
--- a/rosemaryweir/testing/cluster.py
+++ b/rosemaryweir/testing/cluster.py
@@ -23,6 +23,7 @@
     ReplyCaller,
     SendPeer,
     SendTarget,
+    StopListening,
     StoreDelete,
     StoreGet,
     StoreList,
@@ -331,8 +332,9 @@
 
     def _arrive_ask(self, name: str, req: int, ask: Ask) -> None:
         process = self.processes.get(name)
-        if process is None or not process.alive:
+        if process is None or not (process.alive and process.listens):
             ask.cut = True
+            ask.refused = True
             if ask.on_answer is not None:
                 ask.on_answer(ask)
             return
@@ -379,6 +381,9 @@
     def _log(self, process: Process, action: LogEvent) -> None:
         self.logs.append(Logged(self.now, process.name, action))
 
+    def _stop_listening(self, process: Process, action: StopListening) -> None:
+        process.listens = False
+
     def _exit(self, process: Process, action: Exit) -> None:
         process.exit_code = action.code
         self.kill(process.name)
@@ -418,6 +423,7 @@
 _HANDLERS: dict[type, Callable[[Cluster, Process, Any], None]] = {
     ReplyCaller: Cluster._reply,
     LogEvent: Cluster._log,
+    StopListening: Cluster._stop_listening,
     Exit: Cluster._exit,
     SendPeer: Cluster._send_peer,
     **{
--- a/rosemaryweir/testing/process.py
+++ b/rosemaryweir/testing/process.py
@@ -23,6 +23,8 @@
         Virtual time of the answer at the caller; 0 while there is none.
     cut : bool
         Whether the process ended with the request open.
+    refused : bool
+        Whether it was cut because nobody took the connection.
     """
 
     def __init__(self, vm: str, topic: str, body: Any, asked: float) -> None:
@@ -34,6 +36,7 @@
         self.answer: Any = None
         self.answered = 0.0
         self.cut = False
+        self.refused = False
         self.on_answer: Callable[[Ask], None] | None = None
 
 
@@ -55,6 +58,7 @@
         self.name = node.state.uid.name
         self.alive = True
         self.paused = False
+        self.listens = True
         self.backlog: list[Event] = []
         self.wake_at: float | None = None
         self.asks: dict[int, Ask] = {}
--- a/rosemaryweir/transport/callers.py
+++ b/rosemaryweir/transport/callers.py
@@ -6,7 +6,7 @@
 
 from returns.pipeline import is_successful
 
-from rosemaryweir.node.action import ReplyCaller
+from rosemaryweir.node.action import ReplyCaller, StopListening
 from rosemaryweir.node.event import CallerGone, CallerRequest, Event
 from rosemaryweir.node.ports import Clock
 from rosemaryweir.transport.decode import decode
@@ -69,6 +69,10 @@
         if exchange is not None:
             exchange.reply_json(action.status, body)
 
+    def stop_listening(self, action: StopListening) -> None:
+        """Take no new connections; answer on those that are open."""
+        self.http.stop_listening()
+
     def _take(self, exchange: Exchange) -> None:
         outcome = decode(self._name, exchange.request)
         if not is_successful(outcome):
--- a/rosemaryweir/transport/http_server.py
+++ b/rosemaryweir/transport/http_server.py
@@ -110,9 +110,10 @@
         body: bytes,
     ) -> None:
         """Write a whole answer and take the next request."""
+        ending = [('connection', 'close')] if self._server.closing else []
         head = h11.Response(
             status_code=status,
-            headers=[*headers, ('content-length', str(len(body)))],
+            headers=[*headers, ('content-length', str(len(body))), *ending],
         )
         self._exchange = None
         self.transport.write(
@@ -328,11 +329,15 @@
         for conn in tuple(self.connections):
             conn.transport.abort()
 
-    async def stop(self) -> None:
-        """Stop listening, drop what is open."""
+    def stop_listening(self) -> None:
+        """Take no new connections; each open one ends with its next answer."""
         self.closing = True
         if self._server is not None:
             self._server.close()
+
+    async def stop(self) -> None:
+        """Stop listening, drop what is open."""
+        self.stop_listening()
         for conn in tuple(self.connections):
             conn.transport.close()
 
--- a/rosemaryweir/transport/tests/test_http_server.py
+++ b/rosemaryweir/transport/tests/test_http_server.py
@@ -48,6 +48,12 @@
     asyncio.run(run())
 
 
+async def read_answer(reader):
+    head = await reader.readuntil(b'\r\n\r\n')
+    length = int(head.lower().partition(b'content-length: ')[2].split()[0])
+    return head, await reader.readexactly(length)
+
+
 async def talk(address, *parts, eof=False):
     """Send bytes, return all that comes back until the close."""
     host, port = address.split(':')
@@ -205,3 +211,28 @@
         writer.close()
 
     served(scenario)
+
+
+def test_open_connections_end_with_their_next_answer_once_not_listening():
+    async def scenario(fixture, address):
+        host, port = address.split(':')
+        held = await asyncio.open_connection(host, int(port))
+        held[1].write(b'GET /hold HTTP/1.1\r\n' + HOST + b'\r\n')
+        kept = await asyncio.open_connection(host, int(port))
+        kept[1].write(b'GET /one HTTP/1.1\r\n' + HOST + b'\r\n')
+        head, body = await read_answer(kept[0])
+        assert body == b'/one'
+        assert b'connection: close' not in head.lower()
+        fixture.http.stop_listening()
+        with pytest.raises(OSError):
+            await asyncio.open_connection(host, int(port))
+        kept[1].write(b'GET /two HTTP/1.1\r\n' + HOST + b'\r\n')
+        fixture.held[0].reply(200, b'late')
+        for (reader, writer), body in ((kept, b'/two'), (held, b'late')):
+            head, answer = await read_answer(reader)
+            assert answer == body
+            assert b'connection: close' in head.lower()
+            assert await reader.read() == b''
+            writer.close()
+
+    served(scenario)
