Cluster in parts: messages, targets and static nodes each in their module

Change: PeerLink (messages between processes), TargetLink creates the fakes, static_node in process.py, STORE_CALLS and TARGET_CALLS next to the ports, Cluster.from_deployment.

--- a/examples/drive_one_node.py
+++ b/examples/drive_one_node.py
@@ -10,17 +10,9 @@
 import random
 
 from rosemaryweir.compose import Node
-from rosemaryweir.node.action import (
-    ListPlatform,
-    ReplyCaller,
-    StoreDelete,
-    StoreGet,
-    StoreList,
-    StorePut,
-    StoreUnwatch,
-    StoreWatch,
-)
+from rosemaryweir.node.action import ReplyCaller
 from rosemaryweir.node.event import CallerRequest, Wake
+from rosemaryweir.node.ports import STORE_CALLS
 from rosemaryweir.testing import (
     DEPLOYMENTS,
     FakeStore,
@@ -29,16 +21,6 @@
     vm_settings,
 )
 
-STORE_CALLS = (
-    StoreGet,
-    StoreList,
-    StorePut,
-    StoreDelete,
-    StoreWatch,
-    StoreUnwatch,
-    ListPlatform,
-)
-
 
 class Driver:
     """Gives events to a node and carries its actions out."""
--- a/examples/order_asked_twice.py
+++ b/examples/order_asked_twice.py
@@ -4,22 +4,16 @@
 it with ``python examples/order_asked_twice.py``.
 """
 
-from rosemaryweir.testing import (
-    DEPLOYMENTS,
-    Cluster,
-    config_of,
-    vm_settings,
-)
+from rosemaryweir.testing import DEPLOYMENTS, Cluster
 
 ORDER = {'service': 'print-orders', 'order_key': 'disc-77', 'body': 'one disc'}
 
 
 def main() -> None:
     """Place the order at one VM, then at another, and count its runs."""
-    deployment = DEPLOYMENTS['halvorsen']
-    cluster = Cluster(
-        vm_settings(deployment, vms=3),
-        config_of(deployment),
+    cluster = Cluster.from_deployment(
+        DEPLOYMENTS['halvorsen'],
+        vms=3,
         seed=7,
         static=True,
     )
--- a/examples/query_with_straggler.py
+++ b/examples/query_with_straggler.py
@@ -4,22 +4,16 @@
 it with ``python examples/query_with_straggler.py``.
 """
 
-from rosemaryweir.testing import (
-    DEPLOYMENTS,
-    Cluster,
-    config_of,
-    vm_settings,
-)
+from rosemaryweir.testing import DEPLOYMENTS, Cluster
 
 QUERY = {'service': 'patrol-desk', 'query': 'permit AB12', 'tenant': 'default'}
 
 
 def main() -> None:
     """Warm the tier up, slow one target down, ask, print the answer."""
-    deployment = DEPLOYMENTS['halvorsen']
-    cluster = Cluster(
-        vm_settings(deployment, vms=3),
-        config_of(deployment),
+    cluster = Cluster.from_deployment(
+        DEPLOYMENTS['halvorsen'],
+        vms=3,
         seed=7,
         static=True,
     )
--- a/rosemaryweir/config/tests/test_relay.py
+++ b/rosemaryweir/config/tests/test_relay.py
@@ -28,7 +28,7 @@
         self.wholes = 0
         self.cluster = cluster
         self._call = cluster.store.call
-        cluster.size_of = self.see
+        cluster.peers.size_of = self.see
         cluster.store.call = self.read
 
     def see(self, message):
--- a/rosemaryweir/daemons/driver.py
+++ b/rosemaryweir/daemons/driver.py
@@ -14,29 +14,24 @@
 from rosemaryweir.daemons.metrics import Metrics
 from rosemaryweir.node.action import (
     Action,
-    CancelAttempt,
-    CloseConnection,
     Exit,
-    ListPlatform,
     LogEvent,
     Metric,
-    OpenConnection,
-    ProbeTarget,
     ReplyCaller,
     SendPeer,
-    SendTarget,
     StopListening,
-    StoreDelete,
-    StoreGet,
-    StoreList,
-    StorePut,
-    StoreUnwatch,
-    StoreWatch,
 )
 from rosemaryweir.node.catalogue import register_event
 from rosemaryweir.node.event import Event, Wake
 from rosemaryweir.node.node import Node
-from rosemaryweir.node.ports import Clock, Peer, Store, Target
+from rosemaryweir.node.ports import (
+    STORE_CALLS,
+    TARGET_CALLS,
+    Clock,
+    Peer,
+    Store,
+    Target,
+)
 
 __all__ = ['Driver']
 
@@ -58,22 +53,6 @@
 #: Time until the next wake when the node could not name one, in seconds: a
 #: process without a timer would stand still.
 RETRY_WAKE_SECONDS = 0.1
-_TARGET_CALLS = (
-    OpenConnection,
-    CloseConnection,
-    SendTarget,
-    CancelAttempt,
-    ProbeTarget,
-)
-_STORE_CALLS = (
-    StoreGet,
-    StoreList,
-    StorePut,
-    StoreDelete,
-    StoreWatch,
-    StoreUnwatch,
-    ListPlatform,
-)
 
 Carrier = Callable[[Any], None]
 
@@ -134,8 +113,8 @@
             ReplyCaller: reply,
             SendPeer: peer.send,
             StopListening: stop_listening,
-            **dict.fromkeys(_STORE_CALLS, store.call),
-            **dict.fromkeys(_TARGET_CALLS, target.call),
+            **dict.fromkeys(STORE_CALLS, store.call),
+            **dict.fromkeys(TARGET_CALLS, target.call),
         }
         self._carriers.update(carriers)
 
--- a/rosemaryweir/node/ports.py
+++ b/rosemaryweir/node/ports.py
@@ -4,7 +4,7 @@
 node, in real or in virtual time.  Every port answers by events, later.
 """
 
-from typing import Protocol
+from typing import Protocol, get_args
 
 from rosemaryweir.node.action import (
     CancelAttempt,
@@ -22,7 +22,16 @@
     StoreWatch,
 )
 
-__all__ = ['Clock', 'Peer', 'Store', 'StoreCall', 'Target', 'TargetCall']
+__all__ = [
+    'STORE_CALLS',
+    'TARGET_CALLS',
+    'Clock',
+    'Peer',
+    'Store',
+    'StoreCall',
+    'Target',
+    'TargetCall',
+]
 
 StoreCall = (
     StoreGet
@@ -37,6 +46,10 @@
     OpenConnection | CloseConnection | SendTarget | CancelAttempt | ProbeTarget
 )
 
+#: The actions that each port carries out.
+STORE_CALLS: tuple[type, ...] = get_args(StoreCall)
+TARGET_CALLS: tuple[type, ...] = get_args(TargetCall)
+
 
 class Store(Protocol):
     """The platform's object API."""
--- a/rosemaryweir/testing/cluster.py
+++ b/rosemaryweir/testing/cluster.py
@@ -13,46 +13,30 @@
 from rosemaryweir import compose
 from rosemaryweir.node.action import (
     Action,
-    CancelAttempt,
-    CloseConnection,
     Exit,
-    ListPlatform,
     LogEvent,
-    OpenConnection,
-    ProbeTarget,
     ReplyCaller,
     SendPeer,
-    SendTarget,
     StopListening,
-    StoreDelete,
-    StoreGet,
-    StoreList,
-    StorePut,
-    StoreUnwatch,
-    StoreWatch,
 )
 from rosemaryweir.node.event import (
     CallerGone,
     CallerRequest,
     Event,
-    PeerMessage,
     ShutdownAsked,
     Wake,
 )
 from rosemaryweir.node.node import Node
-from rosemaryweir.node.part import parts_of
-from rosemaryweir.node.state import Lease, NodeState, NodeUid
-from rosemaryweir.schema.generated.config import Config, Service
+from rosemaryweir.node.ports import STORE_CALLS, TARGET_CALLS
+from rosemaryweir.node.state import NodeUid
+from rosemaryweir.schema.generated.config import Config
 from rosemaryweir.schema.generated.settings import Settings
+from rosemaryweir.testing.deployment import Deployment, config_of, vm_settings
 from rosemaryweir.testing.fake_store import FakeStore
-from rosemaryweir.testing.fake_target import (
-    FakeTarget,
-    ServiceTime,
-    TargetSpec,
-    exponential,
-)
+from rosemaryweir.testing.fake_target import ServiceTime, exponential
 from rosemaryweir.testing.network import CALLER, Network
-from rosemaryweir.testing.process import Ask, Logged, Process, static_view
+from rosemaryweir.testing.peer_link import PeerLink
+from rosemaryweir.testing.process import Ask, Logged, Process, static_node
 from rosemaryweir.testing.scheduler import Scheduler
 from rosemaryweir.testing.target_link import TargetLink
 
@@ -95,8 +79,8 @@
         Every request of a caller.
     logs : list of Logged
         Every log event.
-    sent, sent_bytes : dict
-        Messages between processes by sender, if `measure_bytes` is given.
+    peers : PeerLink
+        Messages between processes, counted if `size_of` is given.
     """
 
     def __init__(
@@ -121,21 +105,34 @@
             self.network,
             self.deliver,
             config,
+            service_time or exponential(0.01),
         )
         self.targets = self.link.targets
-        self.service_time = service_time or exponential(0.01)
+        self.peers = PeerLink(
+            self.scheduler,
+            self.network,
+            self._deliver_message,
+            size_of,
+        )
         self.asks: list[Ask] = []
         self.logs: list[Logged] = []
-        self.sent: dict[str, int] = {}
-        self.sent_bytes: dict[str, int] = {}
-        self.size_of = size_of
         self.processes: dict[str, Process] = {}
-        self._addresses: dict[str, str] = {}
         self._reqs = 0
-        self.add_targets(config)
+        self.link.add(config, self.rng)
         for each in settings:
             self.start_vm(each)
 
+    @classmethod
+    def from_deployment(
+        cls,
+        deployment: Deployment,
+        vms: int,
+        **options: Any,
+    ) -> 'Cluster':
+        """Return a cluster of so many VMs of a deployment."""
+        settings = vm_settings(deployment, vms)
+        return cls(settings, config_of(deployment), **options)
+
     # Time
 
     @property
@@ -161,6 +158,11 @@
     def loss(self, share: float) -> None:
         self.network.loss = share
 
+    @property
+    def sent_bytes(self) -> dict[str, int]:
+        """Bytes of messages between processes, by sender."""
+        return self.peers.sent_bytes
+
     # VMs
 
     def start_vm(self, settings: Settings) -> None:
@@ -175,13 +177,13 @@
         incarnation = int((EPOCH + self.now) * MS) + 1
         rng = Random(self.rng.getrandbits(32))
         if self.static:
-            node = self._static_node(settings, role, incarnation, rng)
+            uid = NodeUid(settings['vm'], role, incarnation)
+            node = static_node(uid, self.settings, self.config, rng)
         else:
             node = Node.from_config(settings, role, incarnation, rng)
         process = Process(node, settings, self.rng.uniform(1, 1000))
         self.processes[process.name] = process
-        address = settings['addresses'][f'{role}_peer']  # type: ignore[literal-required]
-        self._addresses[address] = process.name
+        self.peers.add(process)
         self.scheduler.after(0, self._arm, process)
         return process
 
@@ -238,12 +240,7 @@
 
     def add_targets(self, config: Config) -> None:
         """Create the fakes of the targets that are new in a configuration."""
-        for service in config['services'].values():
-            spec = self._spec(service)
-            for shard in service['shards'].values():
-                for name in shard['targets']:
-                    if name not in self.targets:
-                        self.targets[name] = self._target(name, spec, service)
+        self.link.add(config, self.rng)
 
     # Callers
 
@@ -290,45 +287,9 @@
 
     # Inside
 
-    def _static_node(
-        self,
-        settings: Settings,
-        role: str,
-        incarnation: int,
-        rng: Random,
-    ) -> Node:
-        state = NodeState(NodeUid(settings['vm'], role, incarnation), settings)
-        state.config = self.config
-        state.lease = Lease(float('inf'), '')
-        for domain in self.config['domains']:
-            state.take_view(static_view(domain, self.settings.values()))
-        parts = [
-            part(state, rng)
-            for part in parts_of(role)
-            if not part.__module__.startswith('rosemaryweir.membership')
-        ]
-        return Node(state, parts)
-
-    def _spec(self, service: Service) -> TargetSpec:
-        return TargetSpec(
-            service['slots'],
-            service['connections'],
-            service['connect_ms'] / MS,
-            service['cold_slots'],
-            service['warm_after'],
-            self.service_time,
-        )
-
-    def _target(
-        self,
-        name: str,
-        spec: TargetSpec,
-        service: Service,
-    ) -> FakeTarget:
-        rng = Random(self.rng.getrandbits(32))
-        target = FakeTarget(name, spec, self.scheduler, rng)
-        target.layout = service['layout']
-        return target
+    def _deliver_message(self, process: Process, event: Event) -> None:
+        # Looked up at each message: whoever watches may wrap `deliver`.
+        self.deliver(process, event)
 
     def _arrive_ask(self, name: str, req: int, ask: Ask) -> None:
         process = self.processes.get(name)
@@ -399,25 +360,7 @@
         self.link.call(process, action)
 
     def _send_peer(self, process: Process, action: SendPeer) -> None:
-        if self.size_of is not None:
-            size = self.size_of(action.message)
-            name = process.name
-            self.sent[name] = self.sent.get(name, 0) + 1
-            self.sent_bytes[name] = self.sent_bytes.get(name, 0) + size
-        receiver = self.processes.get(self._addresses.get(action.address, ''))
-        if receiver is None or receiver.name != action.to:
-            return
-        local = receiver.settings['vm'] == process.settings['vm']
-        lost = self.network.lost(process.settings, receiver.settings)
-        if lost and not local:
-            return
-        uid = process.node.state.uid
-        event = PeerMessage(uid.name, uid.incarnation, action.message)
-        delay = self.network.delay(
-            process.settings['domain'],
-            receiver.settings['domain'],
-        )
-        self.scheduler.after(delay, self.deliver, receiver, event)
+        self.peers.send(process, action)
 
 
 _HANDLERS: dict[type, Callable[[Cluster, Process, Any], None]] = {
@@ -426,26 +369,6 @@
     StopListening: Cluster._stop_listening,
     Exit: Cluster._exit,
     SendPeer: Cluster._send_peer,
-    **{
-        kind: Cluster._target_call
-        for kind in (
-            OpenConnection,
-            CloseConnection,
-            SendTarget,
-            CancelAttempt,
-            ProbeTarget,
-        )
-    },
-    **{
-        kind: Cluster._store_call
-        for kind in (
-            StoreGet,
-            StoreList,
-            StorePut,
-            StoreDelete,
-            StoreWatch,
-            StoreUnwatch,
-            ListPlatform,
-        )
-    },
+    **dict.fromkeys(TARGET_CALLS, Cluster._target_call),
+    **dict.fromkeys(STORE_CALLS, Cluster._store_call),
 }
--- a/rosemaryweir/testing/process.py
+++ b/rosemaryweir/testing/process.py
@@ -1,15 +1,19 @@
 """A process in virtual time, callers' requests, and static views."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
+from random import Random
 from typing import Any, NamedTuple
 
 from rosemaryweir.node.action import LogEvent
 from rosemaryweir.node.event import Event
 from rosemaryweir.node.node import Node
+from rosemaryweir.node.part import parts_of
+from rosemaryweir.node.state import Lease, NodeState, NodeUid
+from rosemaryweir.schema.generated.config import Config
 from rosemaryweir.schema.generated.control import Member, View
 from rosemaryweir.schema.generated.settings import Settings
 
-__all__ = ['Ask', 'Logged', 'Process', 'static_view']
+__all__ = ['Ask', 'Logged', 'Process', 'static_node', 'static_view']
 
 
 class Ask:
@@ -82,3 +86,35 @@
         if each['domain'] == domain
     ]
     return View(domain=domain, version=1, members=members)
+
+
+def static_node(
+    uid: NodeUid,
+    settings: Mapping[str, Settings],
+    config: Config,
+    rng: Random,
+) -> Node:
+    """Return a node without control: what it would be told is in force.
+
+    Parameters
+    ----------
+    uid : NodeUid
+        Which process it is.
+    settings : mapping of str to Settings
+        Of every VM, by name; all of them are alive in the views.
+    config : Config
+        The configuration in force.
+    rng : random.Random
+        Source of chance.
+    """
+    state = NodeState(uid, settings[uid.vm])
+    state.config = config
+    state.lease = Lease(float('inf'), '')
+    for domain in config['domains']:
+        state.take_view(static_view(domain, settings.values()))
+    parts = [
+        part(state, rng)
+        for part in parts_of(uid.role)
+        if not part.__module__.startswith('rosemaryweir.membership')
+    ]
+    return Node(state, parts)
--- a/rosemaryweir/testing/target_link.py
+++ b/rosemaryweir/testing/target_link.py
@@ -1,6 +1,8 @@
 """Carry a process's target actions to the fakes of targets."""
 
 from collections.abc import Callable
+from itertools import chain
+from random import Random
 from typing import Any
 
 from rosemaryweir.node.action import (
@@ -17,15 +19,21 @@
     Event,
     TargetHealth,
 )
-from rosemaryweir.schema.generated.config import Config
-from rosemaryweir.testing.fake_target import FakeTarget
+from rosemaryweir.schema.generated.config import Config, Service
+from rosemaryweir.testing.fake_target import (
+    FakeTarget,
+    ServiceTime,
+    TargetSpec,
+)
 from rosemaryweir.testing.network import OTHER_DOMAIN, Network
 from rosemaryweir.testing.process import Process
 from rosemaryweir.testing.scheduler import Scheduler
 
 __all__ = ['TargetLink']
 
+#: Time until a connection is refused, in seconds.
 REFUSED_AFTER = 0.001
+MS_PER_SECOND = 1000.0
 
 
 class TargetLink:
@@ -39,6 +47,8 @@
         Delays and cuts.
     deliver : callable
         ``(process, event)`` gives a process an event.
+    service_time : callable
+        ``rng -> seconds`` of targets that come.
 
     Attributes
     ----------
@@ -54,11 +64,13 @@
         network: Network,
         deliver: Callable[[Process, Event], None],
         config: Config,
+        service_time: ServiceTime,
     ) -> None:
         self.scheduler = scheduler
         self.network = network
         self.deliver = deliver
         self.config = config
+        self.service_time = service_time
         self.targets: dict[str, FakeTarget] = {}
         self._handlers: dict[type, Callable[[Process, Any], None]] = {
             OpenConnection: self._open,
@@ -68,10 +80,34 @@
             ProbeTarget: self._probe,
         }
 
+    def add(self, config: Config, rng: Random) -> None:
+        """Create the fakes of the targets that are new in a configuration."""
+        for service in config['services'].values():
+            spec = self._spec(service)
+            for name in chain.from_iterable(
+                shard['targets'] for shard in service['shards'].values()
+            ):
+                if name not in self.targets:
+                    target_rng = Random(rng.getrandbits(32))
+                    self.targets[name] = FakeTarget(
+                        name, spec, self.scheduler, target_rng
+                    )
+                    self.targets[name].layout = service['layout']
+
     def call(self, process: Process, action: Any) -> None:
         """Carry out an action of a process."""
         self._handlers[type(action)](process, action)
 
+    def _spec(self, service: Service) -> TargetSpec:
+        return TargetSpec(
+            service['slots'],
+            service['connections'],
+            service['connect_ms'] / MS_PER_SECOND,
+            service['cold_slots'],
+            service['warm_after'],
+            self.service_time,
+        )
+
     def _path(self, process: Process, target: str) -> float | None:
         known = self.config['targets'].get(target)
         domain = known['domain'] if known else ''
