Matrix: P5 and P6 for queries and notes, P9 by directory and service

Now by what the fakes saw: each query has a text of its own that its replies echo; no work comes on a connection after a stray reply; a query or a note that was told not_run neither ran nor came into force; a VM that leaves is named by no directory answer from 1 s on (3.5 s if a fault keeps the word from spreading), exits when the last answer naming it has expired, serves all requests if no fault struck and some if the others serve nine in ten. Every step has a cell without a fault. A crossed reply carries another's content, and the right one comes late.

--- a/benchmarks/faults/mutations.py
+++ b/benchmarks/faults/mutations.py
@@ -9,15 +9,26 @@
 from itertools import chain
 from typing import Any, NamedTuple
 
+from rosemaryweir.config import note_service
+from rosemaryweir.config.head import NoteWriter
+from rosemaryweir.membership import directory_choice
 from rosemaryweir.membership.agent_client import AgentClient
+from rosemaryweir.membership.directory import Directory
 from rosemaryweir.node.action import ReplyCaller
+from rosemaryweir.node.event import TargetReply
 from rosemaryweir.node.node import Node
 from rosemaryweir.node.state import Lease, NodeState
 from rosemaryweir.orders import bucket, desk
 from rosemaryweir.orders.answer import Denial, answer_order
 from rosemaryweir.query.merge import Merge, Merged
+from rosemaryweir.query.request import refuse
+from rosemaryweir.query.service import QueryService
+from rosemaryweir.schema.generated.control import Member
 from rosemaryweir.schema.generated.http import Row
+from rosemaryweir.targets.account import Account
+from rosemaryweir.targets.dispatcher import Dispatcher
 from rosemaryweir.targets.leaving import Exclusions
+from rosemaryweir.targets.outbox import Outbox
 from rosemaryweir.targets.warmth import Warmth
 
 __all__ = ['Mutation', 'applied', 'mutations']
@@ -159,6 +170,80 @@
     return answer_order(req, order_key, rest[0], 'ran another', rest[2])
 
 
+@mutation(
+    'take any reply on a connection',
+    'P5',
+    ('query runs', 'reply crossed'),
+    Dispatcher,
+    'take',
+)
+def take_any(
+    self: Dispatcher,
+    account: Account,
+    reply: TargetReply,
+    now: float,
+) -> bool:
+    """Take a reply without a look at the attempt that it echoes."""
+    conn = account.pool.conns.get(reply.conn)
+    if conn is not None and conn.work is not None:
+        reply = reply._replace(attempt=conn.work.attempt)
+    return _take(self, account, reply, now)
+
+
+@mutation(
+    'keep a connection after a stray reply',
+    'P5',
+    ('query runs', 'reply crossed'),
+    Dispatcher,
+    'take',
+)
+def keep_connection(
+    self: Dispatcher,
+    account: Account,
+    reply: TargetReply,
+    now: float,
+) -> bool:
+    """Drop a stray reply and nothing else."""
+    conn = account.pool.conns.get(reply.conn)
+    work = None if conn is None else conn.work
+    if work is None or work.attempt != reply.attempt:
+        return False
+    return _take(self, account, reply, now)
+
+
+_take = Dispatcher.take
+
+
+@mutation(
+    'deny a query with a shard missing',
+    'P6',
+    ('query runs', 'repartition in flight'),
+    QueryService,
+    '_reply',
+)
+def deny_query(self: QueryService, query: Any) -> ReplyCaller:
+    """Say that nothing ran unless all shards answered."""
+    reply = _reply(self, query)
+    if reply.body.get('outcome') == 'complete':
+        return reply
+    return refuse(reply.req, 'no_capacity', 'shards are missing')
+
+
+_reply = QueryService._reply
+
+
+@mutation(
+    'deny a note that was accepted',
+    'P6',
+    ('note written', 'store reply lost after write'),
+    note_service,
+    '_answer',
+)
+def deny_note(req: int, writer: NoteWriter, outcome: Any) -> ReplyCaller:
+    """Refuse whatever became of a note."""
+    return refuse(req, 'conflict', 'refused')
+
+
 @mutation(
     'say not_run when no answer came',
     'P6',
@@ -223,6 +308,42 @@
     return False
 
 
+@mutation(
+    'answer members of the present views only',
+    'P9',
+    ('shutdown asked', ''),
+    Outbox,
+    'members_changed',
+)
+def forget_leavers(self: Outbox) -> None:
+    """Know no address of a VM that is out of its view."""
+    self._members = {each['vm']: each for each in self.state.members()}
+
+
+@mutation(
+    'exit while the directory may name this VM',
+    'P9',
+    ('shutdown asked', ''),
+    Directory,
+    'busy',
+)
+def never_named(self: Directory, now: float) -> bool:
+    """Wait for no answer of the directory to expire."""
+    return False
+
+
+@mutation(
+    'name a VM that is leaving',
+    'P9',
+    ('shutdown asked', 'store down'),
+    directory_choice,
+    'usable',
+)
+def always_usable(member: Member, heard: Any, now: float) -> bool:
+    """Name every VM that was heard of."""
+    return heard is not None
+
+
 @mutation(
     'serve an older generation',
     'P10',
--- a/benchmarks/faults/page.py
+++ b/benchmarks/faults/page.py
@@ -91,7 +91,7 @@
     yield '## Violations'
     yield ''
     for each in figures['failed']:
-        faults = ' + '.join(each['faults'])
+        faults = ' + '.join(each['faults']) or 'none'
         first = each['violations'][0][:160]
         yield f'- {each["step"]}, {faults}, seed {each["seed"]}: `{first}`'
 
@@ -106,7 +106,8 @@
     for name, mutant in mutations().items():
         found = 'yes' if figures['mutations'][name] else 'NO'
         yield (
-            f'| {name} | {mutant.promise} | {mutant.step} | {mutant.fault} '
+            f'| {name} | {mutant.promise} | {mutant.step} '
+            f'| {mutant.fault or "none"} '
             f'| {found} |'
         )
 
--- a/benchmarks/faults/promises.py
+++ b/benchmarks/faults/promises.py
@@ -1,19 +1,17 @@
-"""The promises as checks of what the fakes saw; the registry of them.
+"""The promises as checks of what the fakes saw.
 
 Each check takes a `World` and returns what broke the promise.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
+from benchmarks.faults import outcomes, shutdown
+from benchmarks.faults.checks import Check, Violation, promise, registered
 from benchmarks.faults.sightings import Frame
-from benchmarks.faults.world import QUERY_SERVICE, World
-from benchmarks.order_callers import Placed
+from benchmarks.faults.world import World
 from rosemaryweir.testing import Ask
 
-__all__ = ['Violation', 'broken', 'promises']
-
-Violation = str
-Check = Callable[[World], Iterator[Violation]]
+__all__ = ['MODULES', 'broken', 'promises']
 
 #: Times that the promises name, in seconds.
 OUT_S = 3.0
@@ -23,29 +21,20 @@
 #: more may be under way.
 SIGNS = 2
 
-_PROMISES: dict[str, Check] = {}
-
-
-def promise(name: str) -> Callable[[Check], Check]:
-    """Register the check of a promise."""
-
-    def decorate(check: Check) -> Check:
-        _PROMISES[name] = check
-        return check
-
-    return decorate
+#: Modules that register checks.
+MODULES = (outcomes, shutdown)
 
 
 def promises() -> dict[str, Check]:
-    """Return the registered checks by promise."""
-    return dict(_PROMISES)
+    """Return the checks by promise."""
+    return registered()
 
 
 def broken(world: World) -> list[str]:
     """Return every violation of every promise."""
     return [
         f'{name}: {violation}'
-        for name, check in _PROMISES.items()
+        for name, check in promises().items()
         for violation in check(world)
     ]
 
@@ -107,47 +96,6 @@
             yield f'{each.work} at {each.target} at {each.when:.2f}'
 
 
-@promise('P5 whole own answer')
-def own_answer(world: World) -> Iterator[Violation]:
-    """Check that a reply belongs to the request that it answers."""
-    for ask in _answers(world):
-        strays = [
-            row['shard']
-            for row in ask.answer['rows']
-            if row['key'] != row['shard']
-            or not row['shard'].startswith(QUERY_SERVICE)
-        ]
-        if strays:
-            yield f'rows of {strays}'
-    for order in world.callers.placed:
-        replies = {said.reply for said in order.said if said.told == 'done'}
-        if replies - {f'ran {order.order_key}'}:
-            yield f'{order.order_key} got {sorted(replies)}'
-
-
-@promise('P6 not run')
-def not_run(world: World) -> Iterator[Violation]:
-    """Check that an order denied has not run, nor does so later."""
-    runs = _order_runs(world)
-    for order in world.callers.placed:
-        for ran in runs.get(order.order_key, ()):
-            if _denied(order, ran):
-                yield f'{order.order_key} ran at {ran:.2f}: {order.said}'
-
-
-@promise('P7 at most once')
-def at_most_once(world: World) -> Iterator[Violation]:
-    """Check that no order runs twice, and a done one ran."""
-    runs = _order_runs(world)
-    for order_key, when in runs.items():
-        if len(when) > 1:
-            yield f'{order_key} ran at {when}'
-    for order in world.callers.placed:
-        done = any(said.told == 'done' for said in order.said)
-        if done and order.order_key not in runs:
-            yield f'{order.order_key} done without a run'
-
-
 @promise('P8 leaving target')
 def leaving_target(world: World) -> Iterator[Violation]:
     """Check that a draining target gets no new work after 3 s."""
@@ -156,25 +104,6 @@
             yield f'{each.work} at {each.target} at {each.when:.2f}'
 
 
-@promise('P9 graceful shutdown')
-def graceful(world: World) -> Iterator[Violation]:
-    """Check that a VM that leaves cuts no request, and exits with 0."""
-    for vm in world.left:
-        processes = [
-            process
-            for name, process in world.cluster.processes.items()
-            if name.startswith(f'{vm}/')
-        ]
-        if vm in world.killed_vms():
-            continue
-        for process in processes:
-            if process.exit_code != 0:
-                yield f'{process.name} exit {process.exit_code}'
-        for ask in world.cluster.asks:
-            if ask.vm == vm and ask.cut:
-                yield f'{ask.topic} asked of {vm} at {ask.asked:.2f} was cut'
-
-
 @promise('P10 configuration')
 def configuration(world: World) -> Iterator[Violation]:
     """Check that what is accepted is durable, in force in 10 s, kept."""
@@ -214,27 +143,3 @@
             yield domain, began.pop(domain), head.when
     for left, begin in began.items():
         yield left, begin, float('inf')
-
-
-def _order_runs(world: World) -> dict[str, list[float]]:
-    runs: dict[str, list[float]] = {}
-    for target in world.cluster.targets.values():
-        for each in target.runs:
-            if each.work == 'order':
-                runs.setdefault(each.subject, []).append(each.when)
-    return runs
-
-
-def _denied(order: Placed, ran: float) -> bool:
-    """Return whether a `not_run` denies a run.
-
-    It does if the order had run by then, or ran later without a new try.
-    """
-    return any(
-        said.ran == 'not_run'
-        and (
-            ran <= said.when
-            or not any(said.when <= asked <= ran for asked in order.asked)
-        )
-        for said in order.said
-    )
--- a/benchmarks/faults/sightings.py
+++ b/benchmarks/faults/sightings.py
@@ -8,10 +8,10 @@
 from typing import Any, NamedTuple
 
 from rosemaryweir.node.action import SendTarget, StorePut
-from rosemaryweir.node.event import Event, PeerMessage
+from rosemaryweir.node.event import Event, PeerMessage, TargetReply
 from rosemaryweir.testing import Cluster, FakeTarget, Process
 
-__all__ = ['Frame', 'Received', 'Sightings']
+__all__ = ['Connection', 'Frame', 'Received', 'Reuse', 'Sightings']
 
 #: Messages that say which generation their sender works with.
 WORK = ('sub_query', 'order_send')
@@ -36,6 +36,22 @@
     drained: float
 
 
+class Connection(NamedTuple):
+    """A connection of one process to a target."""
+
+    process: str
+    incarnation: int
+    number: int
+
+
+class Reuse(NamedTuple):
+    """Work that came on a connection after a stray reply on it."""
+
+    conn: Connection
+    when: float
+    strayed: float
+
+
 class Frame(NamedTuple):
     """A message that told the generation of its sender."""
 
@@ -54,12 +70,20 @@
         Work that reached targets.
     frames : list of Frame
         Messages with a generation.
+    texts : dict of str to list of float
+        When targets began to run a query, by its text.
+    reuses : list of Reuse
+        Work on connections whose replies could not be trusted any more.
     """
 
     def __init__(self) -> None:
         self.received: list[Received] = []
         self.frames: list[Frame] = []
         self.sends: dict[str, list[float]] = {}
+        self.texts: dict[str, list[float]] = defaultdict(list)
+        self.reuses: list[Reuse] = []
+        self._open: dict[Connection, str] = {}
+        self._strayed: dict[Connection, float] = {}
         self._triggers: dict[str, list[Callable[[], None]]] = defaultdict(list)
         self._chilled: dict[str, int] = {}
         self._started: dict[str, int] = {}
@@ -110,9 +134,13 @@
         def seen(process: Process, event: Event) -> None:
             if isinstance(event, PeerMessage):
                 self._note_frame(cluster.now, event)
+            # What waits for a paused process is delivered once more.
+            if isinstance(event, TargetReply) and not process.paused:
+                self._note_reply(cluster, process.name, event)
             deliver(process, event)
 
         cluster.deliver = seen  # type: ignore[method-assign]
+        cluster.link.deliver = seen
 
     def _note_frame(self, now: float, event: PeerMessage) -> None:
         if event.topic in WORK:
@@ -121,6 +149,30 @@
                 Frame(now, event.sender, event.incarnation, generation),
             )
 
+    def _note_reply(
+        self,
+        cluster: Cluster,
+        name: str,
+        event: TargetReply,
+    ) -> None:
+        """Tell a stray reply: another one is open on its connection."""
+        conn = _connection(cluster, name, event.conn)
+        if self._open.get(conn) == event.attempt:
+            self._open.pop(conn)
+        else:
+            self._strayed.setdefault(conn, cluster.now)
+
+    def _note_work(
+        self,
+        cluster: Cluster,
+        conn: Connection,
+        action: SendTarget,
+    ) -> None:
+        self._open[conn] = action.attempt
+        strayed = self._strayed.get(conn)
+        if strayed is not None:
+            self.reuses.append(Reuse(conn, cluster.now, strayed))
+
     def _watch_target(self, cluster: Cluster, target: FakeTarget) -> None:
         receive = target.receive
 
@@ -133,6 +185,7 @@
             began, collapses = len(target.runs), target.collapses
             signs = self._signs(target)
             drained = self._draining_since(cluster.now, target)
+            self._note_work(cluster, _connection(cluster, *conn), action)
             receive(conn, client, action, remaining)
             self.received.append(
                 Received(
@@ -147,6 +200,8 @@
             )
             if len(target.runs) > began:
                 self.see(f'run {action.work}')
+                if action.work == 'query':
+                    self.texts[action.body['text']].append(cluster.now)
 
         target.receive = seen  # type: ignore[method-assign]
 
@@ -172,3 +227,8 @@
             self._drained.pop(target.name, None)
             return float('inf')
         return self._drained.setdefault(target.name, now)
+
+
+def _connection(cluster: Cluster, name: str, number: int) -> Connection:
+    uid = cluster.processes[name].node.state.uid
+    return Connection(name, uid.incarnation, number)
--- a/benchmarks/faults/world.py
+++ b/benchmarks/faults/world.py
@@ -19,7 +19,14 @@
     vm_settings,
 )
 
-__all__ = ['QUERY_SERVICE', 'SMALL', 'Accepted', 'World']
+__all__ = [
+    'DIRECTORY_S',
+    'HTTP_OK',
+    'MS_PER_S',
+    'SMALL',
+    'Accepted',
+    'World',
+]
 
 QUERY_SERVICE = 'patrol-desk'
 ORDER_SERVICE = 'print-orders'
@@ -41,8 +48,15 @@
 ORDERS_PER_S = 12.0
 HEAD = 'config/head'
 SHUTDOWN_S = 25.0
-#: How long callers keep an answer of the directory, in seconds.
+HTTP_OK = 200
+#: How long callers keep an answer of the directory, in seconds; one may have
+#: been given just before a shutdown.
 DIRECTORY_S = 5.0
+#: How long, in seconds, and how often a second a caller asks the directory
+#: from a shutdown on.
+ASKING_S = 10.0
+DIRECTORY_PER_S = 4.0
+MS_PER_S = 1000
 NOTE_TRIES = 6
 
 
@@ -79,14 +93,23 @@
         self.notes: list[Ask] = []
         self.domain_notes: dict[str, tuple[str, str]] = {}
         self.left: dict[str, float] = {}
+        self.directory: list[Ask] = []
+        self.exits: dict[str, float] = {}
+        self.faults: tuple[str, ...] = ()
+        self._chance = Random(seed)
+        self._named: dict[str, float] = {}
+        self._paused: set[str] = set()
         self.struck = False
         self._numbers = 0
         self._killed: set[str] = set()
         self._kill = self.cluster.kill
         self.cluster.kill = self._note_kill  # type: ignore[method-assign]
+        self._pause = self.cluster.pause
+        self.cluster.pause = self._note_pause  # type: ignore[method-assign]
 
     def run(self, step: Step, faults: tuple[Fault, ...]) -> None:
         """Boot, warm up, take the step, strike, calm down."""
+        self.faults = tuple(each.name for each in faults)
         self._boot()
         self._traffic(WARM_S + ARMED_S + CALM_S)
         self.cluster.run(WARM_S)
@@ -112,11 +135,11 @@
         """Ask a VM to end gracefully; callers learn of it from its peers."""
         self.left[vm] = self.cluster.now
         self.cluster.shutdown_vm(vm)
-        self.cluster.scheduler.after(
-            DIRECTORY_S,
-            self.callers.avoid,
-            vm,
-        )
+        self._named[vm] = self.cluster.now + DIRECTORY_S
+        for turn in range(int(ASKING_S * DIRECTORY_PER_S)):
+            wait = turn / DIRECTORY_PER_S
+            self.cluster.scheduler.after(wait, self._ask_directory)
+        self._forget(vm)
 
     def accepted(self) -> list[Accepted]:
         """Return what the store's history shows of the head."""
@@ -134,11 +157,30 @@
         """Return the VMs of which a process was killed by a fault."""
         return {name.partition('/')[0] for name in self._killed}
 
+    def paused_vms(self) -> set[str]:
+        """Return the VMs of which a process was paused by a fault."""
+        return {name.partition('/')[0] for name in self._paused}
+
     def _note_kill(self, name: str) -> None:
         if self.cluster.processes[name].exit_code is None:
             self._killed.add(name)
+        else:
+            self.exits[name] = self.cluster.now
         self._kill(name)
 
+    def _note_pause(self, *names: str) -> None:
+        self._paused.update(names)
+        self._pause(*names)
+
+    def _forget(self, vm: str) -> None:
+        """Let callers use a VM until the last answer naming it expires."""
+        now = self.cluster.now
+        until = self._named.get(vm, now)
+        if until > now:
+            self.cluster.scheduler.at(until, self._forget, vm)
+        else:
+            self.callers.avoid(vm)
+
     def _boot(self) -> None:
         self.cluster.run(BOOT_S / 2)
         ask = self.cluster.ask('vm-000', 'note', note_of(SMALL), role='agent')
@@ -152,11 +194,22 @@
             when += self.rng.expovariate(QUERIES_PER_S)
             self.cluster.scheduler.after(when, self._query)
 
+    def _ask_directory(self) -> None:
+        vm = self._chance.choice(self.callers.vms)
+        ask = self.cluster.ask(vm, 'directory', {}, on_answer=self._directed)
+        self.directory.append(ask)
+
+    def _directed(self, ask: Ask) -> None:
+        if ask.status == HTTP_OK:
+            until = self.cluster.now + ask.answer['ttl_ms'] / MS_PER_S
+            for entry in ask.answer['use']:
+                self._named[entry['vm']] = until
+
     def _query(self) -> None:
         vm = self.rng.choice(self.callers.vms)
         body = {
             'service': QUERY_SERVICE,
-            'query': 'permit',
+            'query': f'permit {len(self.queries)}',
             'deadline_ms': 800,
         }
         self.seen.see('ask query')
@@ -179,7 +232,7 @@
         ]
 
         def answered(ask: Ask) -> None:
-            if ask.status != 200 and tries > 1:
+            if ask.status != HTTP_OK and tries > 1:
                 self.cluster.scheduler.after(
                     0.5,
                     self._submit,
--- a/benchmarks/matrix.py
+++ b/benchmarks/matrix.py
@@ -35,6 +35,7 @@
 PAIRS = 60
 MUTANT_SEED = 1
 SHOWN = 3
+NO_FAULT = 'none'
 
 
 class Cell(NamedTuple):
@@ -54,13 +55,18 @@
 
 
 def cells(seed: int) -> list[Cell]:
-    """Return every fault at every step."""
-    return [
+    """Return every fault at every step, and every step without a fault."""
+    struck = [
         Cell(step, (fault,), seed + number)
         for number, (step, fault) in enumerate(
             product(sorted(steps()), sorted(faults())),
         )
     ]
+    calm = [
+        Cell(step, (), seed + number)
+        for number, step in enumerate(sorted(steps()), start=len(struck))
+    ]
+    return struck + calm
 
 
 def diagonal(seed: int) -> list[Cell]:
@@ -97,7 +103,8 @@
 def finds(mutant: Mutation) -> bool:
     """Return whether the cell of a mutation finds it."""
     with applied(mutant):
-        outcome = run_cell(Cell(mutant.step, (mutant.fault,), MUTANT_SEED))
+        struck = (mutant.fault,) if mutant.fault else ()
+        outcome = run_cell(Cell(mutant.step, struck, MUTANT_SEED))
     return any(
         violation.startswith(f'{mutant.promise} ')
         for violation in outcome.violations
@@ -118,14 +125,17 @@
     for number, cell in enumerate(chosen, start=1):
         outcome = run_cell(cell)
         outcomes.append(outcome)
-        faults_named = ' + '.join(cell.faults)
         _tell(
-            f'{number}/{len(chosen)} {cell.step}, {faults_named}, '
+            f'{number}/{len(chosen)} {cell.step}, {_faults_of(cell)}, '
             f'seed {cell.seed}: {len(outcome.violations)} violations',
         )
     return outcomes
 
 
+def _faults_of(cell: Cell) -> str:
+    return ' + '.join(cell.faults) or NO_FAULT
+
+
 def _tell(line: str) -> None:
     sys.stderr.write(f'{line}\n')
     sys.stderr.flush()
@@ -162,7 +172,7 @@
     figures = {
         'cells': len(outcomes),
         'steps': sorted(steps()),
-        'faults': sorted(faults()),
+        'faults': [NO_FAULT, *sorted(faults())],
         'struck': sum(outcome.struck for outcome in outcomes),
         'seeds': [outcome.cell.seed for outcome in outcomes],
         'violations': dict(by_promise),
@@ -171,7 +181,7 @@
         'results': [
             (
                 outcome.cell.step,
-                ' + '.join(outcome.cell.faults),
+                _faults_of(outcome.cell),
                 outcome.struck,
                 len(outcome.violations),
             )
--- a/rosemaryweir/testing/fake_target.py
+++ b/rosemaryweir/testing/fake_target.py
@@ -10,6 +10,9 @@
 
 __all__ = ['FakeTarget', 'Run', 'TargetSpec', 'exponential', 'steady']
 
+#: How long after a crossed reply the right one comes, in seconds.
+LATE_AFTER = 0.02
+
 Deliver = Callable[[Event], None]
 ServiceTime = Callable[[Random], float]
 
@@ -70,7 +73,8 @@
     silent : set
         Connections that have gone silent for good.
     reply_fault : str
-        ``crossed`` or ``cut`` for the next reply; empty for none.
+        ``crossed`` (its own comes late) or ``cut`` for the next reply; empty
+        for none.
     runs : list of Run
         Everything it began to run.
     peak, cold_peak : int
@@ -245,6 +249,7 @@
             self.connections.pop(conn)
             event = ConnectionClosed(conn[1], self.name, 'cut', False)
         if self.reply_fault == 'crossed':
+            self.scheduler.after(LATE_AFTER, deliver, event)
             event = self._reply(conn, action, status, 'another')
         self.reply_fault = ''
         self.scheduler.after(0.001, deliver, event)
@@ -262,9 +267,10 @@
         if status == 'ok' and action.work == 'query':
             version = action.body['version'] or version
             shard = action.body['shard']
-            rows = ((shard, f'{shard}@{self.layout}.{version}'),)
+            query = echo or action.body.get('text', '')
+            rows = ((query, f'{shard}@{self.layout}.{version}'),)
         if status == 'ok' and action.work == 'order':
-            text = f'ran {action.body["order_key"]}'
+            text = f'ran {echo or action.body["order_key"]}'
         return TargetReply(
             conn[1],
             self.name,
