No wall clock lets an abandoned order run after not_run

Cause: a claim took a released key over if its wall clock at arrival was not older. With one VM 300 s ahead a request that hung there ran after its caller had been told not_run elsewhere, at any time within its deadline; and a key released under the clock ahead was refused as conflict at all other VMs for 300 s. Both were reproduced by tests that fail before and pass after.

Change: a request takes a released key over only in the first 2 s after its arrival, on its entry's monotonic clock; a released record further ahead than that is of a wrong clock and stops nobody.

Left: a caller that gives up and is refused elsewhere within 2 s, unnoticed, under clocks that differ by more than its pause.

--- a/benchmarks/faults/mutations.py
+++ b/benchmarks/faults/mutations.py
@@ -279,7 +279,7 @@
     bucket,
     '_free',
 )
-def always_free(found: Any, claim: Any) -> bool:
+def always_free(found: Any, claim: Any, now: float) -> bool:
     """Let every claim win."""
     return found is None or found['attempt'] != claim.attempt
 
--- a/rosemaryweir/orders/bucket.py
+++ b/rosemaryweir/orders/bucket.py
@@ -16,6 +16,7 @@
 from rosemaryweir.schema.generated.orders import OrderBucket, OrderRecord
 
 __all__ = [
+    'CONTEST_S',
     'SEAL_BYTES',
     'Claim',
     'Merged',
@@ -30,6 +31,9 @@
     'newest_claim',
 ]
 
+#: How long after its arrival a request may take a released key over, in
+#: seconds.
+CONTEST_S = 2.0
 #: Size from which a segment takes no new keys, in bytes.
 SEAL_BYTES = 65536
 #: Longest reply that is recorded, in bytes of JSON.
@@ -42,10 +46,21 @@
 
 
 class Claim(NamedTuple):
-    """An attempt to claim an order key."""
+    """An attempt to claim an order key.
+
+    Parameters
+    ----------
+    order_key : str
+        The key.
+    record : OrderRecord
+        The record that the claim would write.
+    contests_until : float
+        Monotonic time until which it may take a released key over.
+    """
 
     order_key: str
     record: OrderRecord
+    contests_until: float = float('inf')
 
     @property
     def attempt(self) -> str:
@@ -112,6 +127,7 @@
     bucket: OrderBucket,
     claims: Iterable[Claim],
     updates: Iterable[Update],
+    now: float = 0,
 ) -> Merged:
     """Merge updates, then claims, into a segment.
 
@@ -124,12 +140,18 @@
     updates : iterable of Update
         Each takes effect only on the very attempt that it names, and only
         while that attempt has no outcome: a recorded outcome never changes.
+    now : float
+        Monotonic time.
 
     Notes
     -----
     A claim holds if its key is new, or was released (it never ran) by a
     request that came no later, or has this very attempt already: then an
     earlier write took effect although its reply was lost.
+
+    A request that has waited for longer than `CONTEST_S` takes no released
+    key over: its caller may have given it up and been told `not_run` since.
+    That holds whatever the clocks of the VMs say.
     """
     records = dict(bucket['records'])
     for update in updates:
@@ -141,7 +163,7 @@
         found = records.get(claim.order_key)
         if found is None and key_hash(claim.order_key) in gone:
             lost.append((claim, None))
-        elif _free(found, claim):
+        elif _free(found, claim, now):
             records[claim.order_key] = claim.record
             won.append(claim)
         elif found is not None and found['attempt'] == claim.attempt:
@@ -209,20 +231,24 @@
         )
 
 
-def _free(found: OrderRecord | None, claim: Claim) -> bool:
+def _free(found: OrderRecord | None, claim: Claim, now: float) -> bool:
     if found is None:
         return True
     if found['attempt'] == claim.attempt:
         return False
     released = found['state'] == 'released'
     same = found['digest'] == claim.record['digest']
-    return released and same and _later(claim, found)
+    fresh = now <= claim.contests_until
+    return released and same and fresh and _later(claim, found)
 
 
 def _later(claim: Claim, released: OrderRecord) -> bool:
     """Return whether a request came after one that was told `not_run`.
 
     An older one may have been given up by its caller: were it sent now, what
-    the caller was told since would be untrue.
+    the caller was told since would be untrue.  Both came in the last
+    `CONTEST_S`: a released record further ahead is of a clock that is wrong,
+    and tells nothing.
     """
-    return claim.record['claimed_at'] >= released['claimed_at']
+    ahead = released['claimed_at'] - claim.record['claimed_at']
+    return ahead <= 0 or ahead > CONTEST_S
--- a/rosemaryweir/orders/desk.py
+++ b/rosemaryweir/orders/desk.py
@@ -104,7 +104,8 @@
         self.logs.cleaner.set_wall(now, event.wall)
         self.logs.entries = max(1, len(list(self._state.members())))
         deadline = deadline_of(event, self._state, now)
-        order = Order(spec, self._attempts.record(spec, event.wall), deadline)
+        record = self._attempts.record(spec, event.wall)
+        order = Order(spec, record, deadline, now)
         order.waiters.append(event.req)
         self.book.add(order)
         self.logs.claim(order.claim, now)
@@ -208,7 +209,7 @@
         if record is None or record['digest'] != order.spec.digest:
             yield from self._refuse(order, _mismatch())
         elif record['state'] == 'released':
-            denial = Denial('conflict', 'not_run', 'a later try was refused')
+            denial = Denial('conflict', 'not_run', 'another try was refused')
             yield from self._refuse(order, denial)
         elif record['state'] != 'claimed':
             yield from self._repeat(
--- a/rosemaryweir/orders/group.py
+++ b/rosemaryweir/orders/group.py
@@ -226,7 +226,7 @@
         bucket = decode_bucket(b'' if found is None else found.content)
         self.index.learn(segment, bucket)
         claims, updates = self._waiting.batch(self.index, segment)
-        merged = merge(bucket, claims, updates)
+        merged = merge(bucket, claims, updates, now)
         lost = self._lose(merged)
         if not merged.changed and not updates:
             return Outcome(verdicts=lost + self._win(merged.won))
--- a/rosemaryweir/orders/life.py
+++ b/rosemaryweir/orders/life.py
@@ -16,7 +16,7 @@
 
 from typing import NamedTuple
 
-from rosemaryweir.orders.bucket import Claim, RecordState
+from rosemaryweir.orders.bucket import CONTEST_S, Claim, RecordState
 from rosemaryweir.schema.generated.orders import OrderRecord
 
 __all__ = ['LATE_S', 'Conclusion', 'Order', 'OrderSpec']
@@ -62,6 +62,8 @@
         The claim that is made for it.
     deadline : float
         Time at which its callers are answered.
+    arrived : float
+        Time of its arrival.
 
     Attributes
     ----------
@@ -76,9 +78,10 @@
         spec: OrderSpec,
         record: OrderRecord,
         deadline: float,
+        arrived: float,
     ) -> None:
         self.spec = spec
-        self.claim = Claim(spec.order_key, record)
+        self.claim = Claim(spec.order_key, record, arrived + CONTEST_S)
         self.deadline = deadline
         self.state = 'claiming'
         self.waiters: list[int] = []
--- a/rosemaryweir/orders/tests/rig.py
+++ b/rosemaryweir/orders/tests/rig.py
@@ -58,6 +58,7 @@
         self.rng = Random(seed)
         self.objects = {}
         self.versions = 0
+        self.skew = {}
         self.calls = []
         self.sends = []
         self.runs = []
@@ -100,7 +101,8 @@
             'deadline_ms': deadline_ms,
             'retry': ask.retry,
         }
-        event = CallerRequest(req, 'order', content, EPOCH + self.now)
+        wall = EPOCH + self.now + self.skew.get(vm, 0)
+        event = CallerRequest(req, 'order', content, wall)
         self.give(vm, event)
         return req
 
--- a/rosemaryweir/orders/tests/test_service.py
+++ b/rosemaryweir/orders/tests/test_service.py
@@ -4,6 +4,7 @@
 
 from rosemaryweir.node.event import CallerGone, ShutdownAsked
 from rosemaryweir.node.state import Lease
+from rosemaryweir.orders.bucket import CONTEST_S
 from rosemaryweir.orders.keys import BUCKETS
 from rosemaryweir.orders.tests.rig import EPOCH, Rig
 
@@ -19,6 +20,12 @@
     return req
 
 
+def answer_all_of(rig, vm):
+    """Answer the store calls of one entry; others hang."""
+    while vm in (entries := [call.entry for call in rig.calls]):
+        rig.answer_store(entries.index(vm))
+
+
 def test_an_order_is_claimed_sent_recorded():
     rig = Rig()
     req = claimed(rig)
@@ -301,6 +308,47 @@
     assert not rig.runs
 
 
+@pytest.mark.parametrize('skew', [-300, 300])
+def test_no_clock_lets_an_abandoned_request_run_after_not_run(skew):
+    rig = Rig()
+    rig.skew['vm-000'] = skew
+    abandoned = rig.ask('vm-000', deadline_ms=20000)
+    rig.pass_time(CONTEST_S + 0.1)
+    later = rig.ask('vm-001')
+    answer_all_of(rig, 'vm-001')
+    while rig.sends:
+        rig.answer_send(outcome='refused')
+    assert rig.said(later) == ('no_capacity', 'not_run')
+    answer_all_of(rig, 'vm-001')
+    rig.settle(3)
+    assert rig.said(abandoned) == ('conflict', 'not_run')
+    assert not rig.runs
+
+
+@pytest.mark.parametrize('skew', [-300, 300])
+def test_a_clock_that_is_off_keeps_no_key_from_its_retry(skew):
+    rig = Rig()
+    rig.skew['vm-000'] = skew
+    rig.ask('vm-000')
+    rig.settle(1, outcome='refused')
+    retry = rig.ask('vm-001')
+    rig.settle(1)
+    assert rig.said(retry) == ('done', False)
+
+
+@pytest.mark.parametrize('step', [-86400 * 2, -300, 300, 86400 * 2])
+def test_a_clock_step_runs_no_order_twice(step):
+    rig = Rig()
+    first = rig.ask('vm-000', 'k1')
+    rig.settle(1)
+    rig.skew = dict.fromkeys(('vm-000', 'vm-001'), step)
+    retries = [rig.ask(vm, 'k1') for vm in ('vm-000', 'vm-001', 'vm-002')]
+    rig.settle(2)
+    assert rig.said(first) == ('done', False)
+    assert [rig.said(req) for req in retries] == [('done', True)] * 3
+    assert rig.runs == ['k1']
+
+
 def test_an_order_without_callers_or_answer_ends():
     rig = Rig()
     req = claimed(rig)
