--- a/benchmarks/matrix.py
+++ b/benchmarks/matrix.py
@@ -36,6 +36,7 @@
 #: A fault that strikes by chance may miss the step in one run.
 MUTANT_SEEDS = range(1, 7)
 SHOWN = 3
+NO_FAULT = 'none'
 
 
 class Cell(NamedTuple):
@@ -55,13 +56,18 @@
 
 
 def cells(seed: int) -> list[Cell]:
-    """Return every fault at every step."""
-    return [
+    """Return every fault at every step, and every step without a fault."""
+    struck = [
         Cell(step, (fault,), seed + number)
         for number, (step, fault) in enumerate(
             product(sorted(steps()), sorted(faults())),
         )
     ]
+    calm = [
+        Cell(step, (), seed + number)
+        for number, step in enumerate(sorted(steps()), start=len(struck))
+    ]
+    return struck + calm
 
 
 def diagonal(seed: int) -> list[Cell]:
@@ -102,7 +108,8 @@
 
 def _finds(mutant: Mutation, seed: int) -> bool:
     with applied(mutant):
-        outcome = run_cell(Cell(mutant.step, (mutant.fault,), seed))
+        struck = (mutant.fault,) if mutant.fault else ()
+        outcome = run_cell(Cell(mutant.step, struck, seed))
     return any(
         violation.startswith(f'{mutant.promise} ')
         for violation in outcome.violations
@@ -123,14 +130,17 @@
     for number, cell in enumerate(chosen, start=1):
         outcome = run_cell(cell)
         outcomes.append(outcome)
-        faults_named = ' + '.join(cell.faults)
         _tell(
-            f'{number}/{len(chosen)} {cell.step}, {faults_named}, '
+            f'{number}/{len(chosen)} {cell.step}, {_faults_of(cell)}, '
             f'seed {cell.seed}: {len(outcome.violations)} violations',
         )
     return outcomes
 
 
+def _faults_of(cell: Cell) -> str:
+    return ' + '.join(cell.faults) or NO_FAULT
+
+
 def _tell(line: str) -> None:
     sys.stderr.write(f'{line}\n')
     sys.stderr.flush()
@@ -167,7 +177,7 @@
     figures = {
         'cells': len(outcomes),
         'steps': sorted(steps()),
-        'faults': sorted(faults()),
+        'faults': [NO_FAULT, *sorted(faults())],
         'struck': sum(outcome.struck for outcome in outcomes),
         'seeds': [outcome.cell.seed for outcome in outcomes],
         'violations': dict(by_promise),
@@ -176,7 +186,7 @@
         'results': [
             (
                 outcome.cell.step,
-                ' + '.join(outcome.cell.faults),
+                _faults_of(outcome.cell),
                 outcome.struck,
                 len(outcome.violations),
             )
