Hedges go where they end sooner; a refusal pays for its retry

Hedges were due and refused, up to 13 times a piece, as no other replica had a free slot; after two refusals no replica was left to hedge to, as all had been tried. In the first half second shards waited up to 700 ms without any attempt: refusals by leaves had used up the retry tokens. Change: a hedge may go to a replica without a free slot once it is expected to need less than was waited; it may go to one that refused before; a refused first attempt gives 0.8 of the token of its retry unless requests wait at admission.

--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -116,6 +116,8 @@
     asked = Counter(ask.body['tenant'] for ask in asks)
     got = Counter(ask.body['tenant'] for ask in good)
     part = len(good) / len(asked)
+    if not good:
+        return 0.0
     return min(got[name] / min(asked[name], part) for name in asked)
 
 
--- a/rosemaryweir/query/lateness.py
+++ b/rosemaryweir/query/lateness.py
@@ -1,7 +1,8 @@
 """Which pieces of a query are late, and whether a hedge would help them."""
 
-from rosemaryweir.query.replica import Replica
+from rosemaryweir.query.replica import Replica, score
 from rosemaryweir.query.running import Running, Wanted
+from rosemaryweir.query.sighting import VersionKey
 
 __all__ = ['first_look', 'late_pieces', 'next_look', 'quicker']
 
@@ -53,15 +54,26 @@
     return [] if len(late) > most and patient else late
 
 
-def quicker(replica: Replica, wanted: Wanted) -> bool:
-    """Return whether a hedge would run well before the last attempt.
+def quicker(
+    replica: Replica,
+    wanted: Wanted,
+    key: VersionKey,
+    now: float,
+) -> bool:
+    """Return whether a hedge is likely to end before the last attempt.
 
-    One that has to wait as long runs beside the first attempt and only takes
-    capacity from the shard.
+    What has waited so long is likely to wait as long again: a hedge that is
+    expected to need less may go to a replica without a free slot.  One that
+    needs as long only takes capacity from the shard.
     """
     here = replica.sight
-    there = wanted.open[-1].replica.sight
-    return here.has_room or 2 * (here.pending + 1) <= there.pending + 1
+    last = wanted.open[-1]
+    there = last.replica.sight
+    return (
+        here.has_room
+        or 2 * (here.pending + 1) <= there.pending + 1
+        or score(replica, key, now) <= now - last.sent
+    )
 
 
 def _late(wanted: Wanted, delay: float, now: float) -> bool:
--- a/rosemaryweir/query/runner.py
+++ b/rosemaryweir/query/runner.py
@@ -1,6 +1,6 @@
 """Run queries: scatter, partials, hedges, retries, change of the pin."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from random import Random
 
 from rosemaryweir.node.state import NodeState
@@ -23,7 +23,8 @@
 
 #: A lost attempt counts as this multiple of the usual latency.
 LOST_FOLD = 3
-#: Part of a retry's token that comes back if no target ran it.
+#: Part of a retry's token that comes back if no target ran it, and that is
+#: given for a first attempt refused while no request waits at admission.
 REFUND = 0.8
 #: Outcomes that say that a target lacks capacity.
 REFUSED = frozenset(('shed', 'timeout'))
@@ -192,7 +193,8 @@
             sight.took(max(took, LOST_FOLD * sight.latency), slow, now)
         if outcome in REFUSED:
             query.refused += 1
-        if piece['ran'] == 'no' and attempt.extra:
+        pressed = query.lane.admission.pressed
+        if piece['ran'] == 'no' and (attempt.extra or not pressed):
             query.lane.retries.refund(REFUND)
 
     def _learn(self, query: Running, shard: str, now: float) -> None:
@@ -224,7 +226,7 @@
             return
         replica = None
         if self.state.may_start(now):
-            replica = self._other(query, wanted, now)
+            replica = self._other(query, wanted, wanted.tried, now)
         if replica is None and self._better(query, now):
             return
         if (
@@ -250,10 +252,11 @@
         self,
         query: Running,
         wanted: Wanted,
+        passed_over: Collection[Replica],
         now: float,
     ) -> Replica | None:
         replicas = self.plan(query).replicas[wanted.shard]
-        return choose_other(replicas, query.key, wanted.tried, now)
+        return choose_other(replicas, query.key, passed_over, now)
 
     def plan(self, query: Running) -> Plan:
         """Return the plan of a query as it is now."""
@@ -274,8 +277,11 @@
             self._hedge_one(query, wanted, now)
 
     def _hedge_one(self, query: Running, wanted: Wanted, now: float) -> None:
-        replica = self._other(query, wanted, now)
-        if replica is None or not (wanted.on_trial or quicker(replica, wanted)):
+        asked = [attempt.replica for attempt in wanted.open]
+        replica = self._other(query, wanted, asked, now)
+        if replica is None or not (
+            wanted.on_trial or quicker(replica, wanted, query.key, now)
+        ):
             return
         if query.hedging.budget.spend():
             self.extra += 1
--- a/rosemaryweir/query/tests/test_service.py
+++ b/rosemaryweir/query/tests/test_service.py
@@ -205,6 +205,39 @@
     assert bench.replies[1].body['outcome'] == 'complete'
 
 
+def test_replica_that_refused_a_moment_ago_is_hedged_to(bench):
+    bench.ask(1)
+    first, *rest = bench.take()
+    for send in rest:
+        bench.answer(send)
+    (piece,) = first.message['pieces'][:1]
+    bench.answer(first, first.message['pieces'][1:])
+    bench.answer(first, [piece], outcome='shed')
+    tried = {piece['target']}
+    (second,) = bench.take()
+    bench.answer(second, outcome='shed')
+    tried.add(second.message['pieces'][0]['target'])
+    (third,) = bench.take()
+    assert third.message['pieces'][0]['target'] not in tried
+    bench.until(bench.now + 0.07)
+    hedges = bench.take()
+    assert {
+        each['target'] for send in hedges for each in send.message['pieces']
+    } <= tried
+    bench.answer(hedges[0])
+    assert bench.replies[1].body['outcome'] == 'complete'
+
+
+def test_refused_first_attempts_pay_for_their_retries(bench):
+    retries = bench.part.lanes['find'].retries
+    retries.tokens = 1
+    bench.ask(1)
+    for send in bench.take():
+        bench.answer(send, outcome='shed')
+    again = [piece for send in bench.take() for piece in send.message['pieces']]
+    assert len(again) >= 3
+
+
 def test_index_change_repins_once_and_never_mixes(bench):
     bench.ask(1)
     sends = bench.take()
