Views go between agents as changes

Change: who joined and left since a version that the receiver states, with a digest; whole where the base is not kept or the result differs. One peer is asked for a version at a time. What a view tells of a VM is no longer spread besides. An answer names the settled versions only where they differ from those in use.

Store objects are still read and written whole.

--- a/rosemaryweir/compose.py
+++ b/rosemaryweir/compose.py
@@ -35,6 +35,7 @@
     'rosemaryweir.membership.grants',
     'rosemaryweir.membership.view_service',
     'rosemaryweir.membership.service',
+    'rosemaryweir.membership.view_spread',
     'rosemaryweir.config.note_service',
     'rosemaryweir.config.service',
     'rosemaryweir.query.service',
--- a/rosemaryweir/membership/control.py
+++ b/rosemaryweir/membership/control.py
@@ -10,6 +10,7 @@
 from rosemaryweir.membership.roster import Roster
 from rosemaryweir.membership.succession import Succession
 from rosemaryweir.membership.timing import clock_skew
+from rosemaryweir.membership.view_delta import ViewHistory
 from rosemaryweir.node.state import NodeState
 from rosemaryweir.schema.generated.config import Config
 from rosemaryweir.schema.generated.control import Member, Pulse, View
@@ -36,6 +37,8 @@
         Evidence that nothing newer exists.
     succession : Succession
         Who has adopted which view.
+    history : ViewHistory
+        The latest versions of each view.
     intents : Intents
         Notes about to be written.
     heard : dict of str to Heard
@@ -59,6 +62,7 @@
         self.roster = Roster(own_member(state))
         self.fence = Fence()
         self.succession = Succession(clock_skew(state.settings))
+        self.history = ViewHistory()
         self.intents = Intents()
         self.heard: dict[str, Heard] = {}
         self.told = 0
@@ -106,6 +110,7 @@
         """Adopt views; return those that were newer."""
         newer = [view for view in views if self.state.take_view(view)]
         for view in newer:
+            self.history.add(view)
             self.succession.adopt(view, now)
             for member in view['members']:
                 self.roster.take(member, now, spread=False)
--- a/rosemaryweir/membership/roster.py
+++ b/rosemaryweir/membership/roster.py
@@ -106,6 +106,8 @@
             return self._take_own(report, now)
         known = self._records.get(vm)
         if known is not None and not _wins(report, known.member):
+            if not spread and _same(report, known.member):
+                self._spread.pop(vm, None)
             return False
         self._put(report, now, spread)
         return True
@@ -191,6 +193,13 @@
         self._spread[vm] = TRANSMISSIONS * doublings
 
 
+def _same(report: Member, known: Member) -> bool:
+    return (report['incarnation'], report['state']) == (
+        known['incarnation'],
+        known['state'],
+    )
+
+
 def _wins(report: Member, known: Member) -> bool:
     if report['incarnation'] != known['incarnation']:
         return report['incarnation'] > known['incarnation']
--- a/rosemaryweir/membership/service.py
+++ b/rosemaryweir/membership/service.py
@@ -11,7 +11,6 @@
     vouch_ages,
     vouch_masks,
 )
-from rosemaryweir.membership import grants, view_service
 from rosemaryweir.membership.control import control_of
 from rosemaryweir.membership.directory_choice import Heard
 from rosemaryweir.membership.prober import (
@@ -20,6 +19,7 @@
     suspicion_time,
 )
 from rosemaryweir.membership.ranks import children, parent, rank_of
+from rosemaryweir.membership.view_spread import Wanted
 from rosemaryweir.node.action import Action, LogEvent, SendPeer
 from rosemaryweir.node.catalogue import register_event
 from rosemaryweir.node.event import PeerMessage
@@ -33,10 +33,9 @@
     Member,
     PingAck,
     PingReq,
-    Views,
 )
 
-__all__ = ['MembershipService', 'grants', 'view_service']
+__all__ = ['MembershipService']
 
 MEMBER_CHANGED = register_event(
     610,
@@ -63,9 +62,6 @@
 #: VMs that are told of a change at once.
 URGENT = 4
 
-#: Views that one message carries.
-VIEWS_SENT = 4
-
 #: Time after which an unsent message is worth nothing, in seconds.
 SEND_S = 0.5
 
@@ -95,6 +91,7 @@
         self._due = 0.0
         self._rounds = 0
         self._seed_due = 0.0
+        self._wanted = Wanted()
         self._introduced: dict[str, int] = {}
         self._helping: dict[int, tuple[str, str, int]] = {}
 
@@ -139,8 +136,10 @@
             fresh=control.fence.fresh_ages(now),
             quorums=control.fence.quorum_ages(now),
             vouches=control.fence.vouches,
-            settled=control.succession.settled(now),
         )
+        settled = control.succession.settled(now)
+        if settled != ack['known']['versions']:
+            ack['settled'] = settled
         near = known['domain'] == control.domain
         if near and control.fence.age(HEAD, now) > OUTAGE_S:
             ack['vouched'] = self._vouch_masks(now)
@@ -187,27 +186,6 @@
         self._prober.excuse(str(event.message['vm']))
         return ()
 
-    @handles(PeerMessage, 'fetch')
-    def send_views(self, event: PeerMessage, now: float) -> Iterator[Action]:
-        """Send the views that a peer lacks."""
-        message: Fetch = event.message  # type: ignore[assignment]
-        sender = self.control.roster.member(event.sender.partition('/')[0])
-        newer = [
-            view
-            for domain, view in self.state.views.items()
-            if view['version'] > message['views'].get(domain, 0)
-        ]
-        if sender is not None and newer:
-            views = Views(kind='views', views=newer[:VIEWS_SENT])
-            yield self._send(sender, views, now)
-
-    @handles(PeerMessage, 'views')
-    def take_views(self, event: PeerMessage, now: float) -> Iterable[Action]:
-        """Adopt views that a peer sent."""
-        message: Views = event.message  # type: ignore[assignment]
-        self.control.adopt(message['views'], now)
-        return self._announce(now)
-
     def status(self, now: float) -> Mapping[str, Any]:
         """Return what is believed of every VM, with its generation."""
         control = self.control
@@ -306,7 +284,8 @@
         control.told = max(control.told, known['generation'])
         control.succession.heard(vm, known['versions'])
         tuple(control.succession.settle(now))
-        if self._lacks(known['versions']):
+        lacking = self._lacking(known['versions'])
+        if lacking and self._wanted.ask(lacking, now):
             yield self._fetch(known, now)
 
     def _take_evidence(
@@ -318,13 +297,15 @@
         control = self.control
         vm = ack['known']['vm']
         newer = ack['known']['generation'] > self.state.config['generation']
-        if newer or self._lacks(ack['known']['versions']):
+        if newer or self._lacking(ack['known']['versions']):
             return
         control.fence.relay(ack['fresh'], sent)
         control.fence.relay_quorums(ack['quorums'], sent)
         if ack['vouches']:
             control.fence.vouched(vm, sent)
-        tuple(control.succession.told_settled(ack['settled'], now))
+        # Left out when the succession of every view has taken place.
+        settled = ack.get('settled', ack['known']['versions'])
+        tuple(control.succession.told_settled(settled, now))
         if ack['known']['versions'] != self.state.view_versions():
             return
         names = sorted(member['vm'] for member in self.state.members())
@@ -353,12 +334,13 @@
         members = self.state.views[domain]['members']
         return sorted(member['vm'] for member in members)
 
-    def _lacks(self, versions: Mapping[str, int]) -> bool:
+    def _lacking(self, versions: Mapping[str, int]) -> dict[str, int]:
         own = self.state.views
-        return any(
-            domain not in own or own[domain]['version'] < version
+        return {
+            domain: version
             for domain, version in versions.items()
-        )
+            if domain not in own or own[domain]['version'] < version
+        }
 
     def _fetch(self, known: Known, now: float) -> SendPeer:
         fetch = Fetch(
--- /dev/null
+++ b/rosemaryweir/membership/tests/test_view_spread.py
@@ -0,0 +1,67 @@
+"""Views by gossip: changes to those who have the base, else whole views."""
+
+from random import Random
+
+from rosemaryweir.membership.control import control_of
+from rosemaryweir.membership.view_spread import ViewSpread
+from rosemaryweir.node.event import PeerMessage
+from rosemaryweir.node.node import Node
+from rosemaryweir.node.state import NodeState, NodeUid
+from rosemaryweir.testing.deployment import HALVORSEN, vm_settings
+from rosemaryweir.testing.process import static_view
+
+VMS = vm_settings(HALVORSEN, 6)
+DOMAIN = HALVORSEN.domains[0]
+OLD = static_view(DOMAIN, VMS[:3])
+NEW = {**static_view(DOMAIN, VMS), 'version': 2, 'former': [['vm-000']]}
+
+
+def make_node(vm, *views):
+    state = NodeState(NodeUid(vm, 'agent', 1), VMS[0])
+    control = control_of(state)
+    for view in views:
+        control.adopt([view], 0.0)
+    return Node(state, [ViewSpread(state, Random(1))])
+
+
+def tell(node, sender, message):
+    actions = node.handle(PeerMessage(f'{sender}/agent', 1, message), 1.0)
+    return [action.message for action in actions]
+
+
+def fetch(**views):
+    return {'kind': 'fetch', 'generation': 0, 'chunk': 0, 'views': views}
+
+
+def test_receiver_with_a_known_base_gets_the_change():
+    node = make_node('vm-000', OLD, NEW)
+    (message,) = tell(node, 'vm-003', fetch(**{DOMAIN: 1}))
+    assert message['views'] == []
+    (delta,) = message['deltas']
+    assert [member['vm'] for member in delta['joined']] == ['vm-003']
+    receiver = make_node('vm-003', OLD)
+    assert tell(receiver, 'vm-000', message) == []
+    assert receiver.state.views[DOMAIN] == NEW
+
+
+def test_receiver_without_a_known_base_gets_the_whole_view():
+    node = make_node('vm-000', NEW)
+    (message,) = tell(node, 'vm-003', fetch(**{DOMAIN: 1}))
+    assert (message['views'], message['deltas']) == ([NEW], [])
+
+
+def test_change_that_does_not_fit_makes_the_receiver_ask_whole():
+    node = make_node('vm-000', OLD, NEW)
+    (message,) = tell(node, 'vm-003', fetch(**{DOMAIN: 1}))
+    other = make_node('vm-003', static_view(DOMAIN, VMS[3:]))
+    (again,) = tell(other, 'vm-000', message)
+    assert again['views'] == {DOMAIN: 0}
+    (whole,) = tell(node, 'vm-003', again)
+    assert tell(other, 'vm-000', whole) == []
+    assert other.state.views[DOMAIN] == NEW
+
+
+def test_change_that_came_twice_is_no_news():
+    node = make_node('vm-000', OLD, NEW)
+    (message,) = tell(node, 'vm-003', fetch(**{DOMAIN: 1}))
+    assert tell(node, 'vm-003', message) == []
--- /dev/null
+++ b/rosemaryweir/membership/view_delta.py
@@ -0,0 +1,110 @@
+"""Views as changes: what joined and left since a version that is known."""
+
+import msgspec
+import xxhash
+
+from rosemaryweir.schema.generated.control import (
+    FormerDelta,
+    Member,
+    View,
+    ViewDelta,
+)
+
+__all__ = ['ViewHistory', 'apply_delta', 'view_delta']
+
+#: Earlier versions of each view that are kept to tell changes from.
+KEPT = 8
+
+
+def view_delta(base: View, view: View) -> ViewDelta:
+    """Return what turns one version of a view into a later one."""
+    before = _by_name(base)
+    after = _by_name(view)
+    names = after.keys()
+    return ViewDelta(
+        domain=view['domain'],
+        base=base['version'],
+        version=view['version'],
+        joined=[
+            member for vm, member in after.items() if before.get(vm) != member
+        ],
+        left=sorted(before.keys() - names),
+        former=[
+            FormerDelta(
+                more=sorted(set(former) - names),
+                less=sorted(names - set(former)),
+            )
+            for former in view.get('former', ())
+        ],
+        digest=_digest(view),
+    )
+
+
+def apply_delta(base: View, delta: ViewDelta) -> View | None:
+    """Return the view that a delta makes of its base.
+
+    Returns
+    -------
+    View or None
+        None when the base is of another version, or the digest of the result
+        is not that of the delta.
+    """
+    if base['version'] != delta['base']:
+        return None
+    changed = {member['vm']: member for member in delta['joined']}
+    left = set(delta['left'])
+    merged = {
+        vm: member
+        for vm, member in {**_by_name(base), **changed}.items()
+        if vm not in left
+    }
+    view = View(
+        domain=base['domain'],
+        version=delta['version'],
+        members=[merged[vm] for vm in sorted(merged)],
+        former=[
+            sorted((merged.keys() - set(former['less'])) | set(former['more']))
+            for former in delta['former']
+        ],
+    )
+    return view if _digest(view) == delta['digest'] else None
+
+
+class ViewHistory:
+    """The latest versions of each view that were in use here.
+
+    Examples
+    --------
+    >>> history = ViewHistory()
+    >>> history.add({'domain': 'a', 'version': 3, 'members': []})
+    >>> history.find('a', 3)['members'], history.find('a', 2)
+    ([], None)
+    """
+
+    def __init__(self) -> None:
+        self._views: dict[str, dict[int, View]] = {}
+
+    def add(self, view: View) -> None:
+        """Keep a view, and no more than `KEPT` of its failure domain."""
+        known = self._views.setdefault(view['domain'], {})
+        known[view['version']] = view
+        if len(known) > KEPT:
+            known.pop(min(known))
+
+    def find(self, domain: str, version: int) -> View | None:
+        """Return a version of a view, if it is kept."""
+        return self._views.get(domain, {}).get(version)
+
+
+def _by_name(view: View) -> dict[str, Member]:
+    return {member['vm']: member for member in view['members']}
+
+
+def _digest(view: View) -> str:
+    members = [
+        sorted(member.items())
+        for member in sorted(view['members'], key=lambda each: each['vm'])
+    ]
+    former = [sorted(names) for names in view.get('former', ())]
+    whole = (view['domain'], view['version'], members, former)
+    return xxhash.xxh3_64_hexdigest(msgspec.msgpack.encode(whole))
--- /dev/null
+++ b/rosemaryweir/membership/view_spread.py
@@ -0,0 +1,141 @@
+"""Views by gossip: asked for when a peer has newer ones, sent as changes."""
+
+from collections.abc import Iterator, Mapping
+from random import Random
+
+from rosemaryweir.membership.control import control_of
+from rosemaryweir.membership.view_delta import apply_delta, view_delta
+from rosemaryweir.node.action import Action, SendPeer
+from rosemaryweir.node.event import PeerMessage
+from rosemaryweir.node.part import Part, handles, part_of
+from rosemaryweir.node.state import NodeState
+from rosemaryweir.schema.generated.control import (
+    Fetch,
+    View,
+    ViewDelta,
+    Views,
+)
+
+__all__ = ['ViewSpread', 'Wanted']
+
+#: Views that one message carries.
+VIEWS_SENT = 4
+
+#: Time that the sender of a view gets before another peer is asked, in seconds.
+ANSWER_S = 0.3
+
+#: Time after which an unsent message is worth nothing, in seconds.
+SEND_S = 0.5
+
+
+class Wanted:
+    """Which views were asked for of late, so that one peer is asked for each.
+
+    Examples
+    --------
+    >>> wanted = Wanted()
+    >>> wanted.ask({'a': 4}, 1.0), wanted.ask({'a': 4}, 1.1)
+    (True, False)
+    >>> wanted.ask({'a': 5}, 1.1), wanted.ask({'a': 4}, 2.0)
+    (True, True)
+    """
+
+    def __init__(self) -> None:
+        self._asked: dict[str, tuple[int, float]] = {}
+
+    def ask(self, lacking: Mapping[str, int], now: float) -> bool:
+        """Return whether to ask for any of these versions."""
+        due = {
+            domain: (version, now)
+            for domain, version in lacking.items()
+            if not self._waits(domain, version, now)
+        }
+        self._asked.update(due)
+        return bool(due)
+
+    def _waits(self, domain: str, version: int, now: float) -> bool:
+        asked, when = self._asked.get(domain, (0, now))
+        return asked >= version and now < when + ANSWER_S
+
+
+@part_of('agent')
+class ViewSpread(Part):
+    """Send peers the views that they lack, and take what peers send.
+
+    Notes
+    -----
+    A peer that has one of the latest versions gets what changed since; it
+    checks the digest of the result, and asks for the whole view otherwise.
+    """
+
+    def __init__(self, state: NodeState, rng: Random) -> None:
+        super().__init__(state, rng)
+        self.control = control_of(state)
+
+    @handles(PeerMessage, 'fetch')
+    def send_views(self, event: PeerMessage, now: float) -> Iterator[Action]:
+        """Send the views that a peer lacks."""
+        message: Fetch = event.message  # type: ignore[assignment]
+        known = message['views']
+        newer = [
+            view
+            for domain, view in self.state.views.items()
+            if view['version'] > known.get(domain, 0)
+        ][:VIEWS_SENT]
+        deltas = [
+            delta
+            for delta in (self._delta(view, known) for view in newer)
+            if delta is not None
+        ]
+        told = {delta['domain'] for delta in deltas}
+        whole = [view for view in newer if view['domain'] not in told]
+        if newer:
+            views = Views(kind='views', views=whole, deltas=deltas)
+            yield from self._send(event.sender, views, now)
+
+    @handles(PeerMessage, 'views')
+    def take_views(self, event: PeerMessage, now: float) -> Iterator[Action]:
+        """Adopt views that a peer sent; ask for those that don't fit whole."""
+        message: Views = event.message  # type: ignore[assignment]
+        self.control.adopt(message['views'], now)
+        unfit = [
+            delta['domain']
+            for delta in message.get('deltas', ())
+            if not self._apply(delta, now)
+        ]
+        if unfit:
+            fetch = Fetch(
+                kind='fetch',
+                generation=self.state.config['generation'],
+                chunk=0,
+                views={**self.state.view_versions(), **dict.fromkeys(unfit, 0)},
+            )
+            yield from self._send(event.sender, fetch, now)
+
+    def _delta(self, view: View, known: Mapping[str, int]) -> ViewDelta | None:
+        domain = view['domain']
+        base = self.control.history.find(domain, known.get(domain, 0))
+        return None if base is None else view_delta(base, view)
+
+    def _apply(self, delta: ViewDelta, now: float) -> bool:
+        known = self.state.views.get(delta['domain'])
+        if known is None:
+            return False
+        if known['version'] >= delta['version']:
+            return True
+        view = apply_delta(known, delta)
+        if view is None:
+            return False
+        self.control.adopt([view], now)
+        return True
+
+    def _send(
+        self,
+        sender: str,
+        message: Mapping[str, object],
+        now: float,
+    ) -> Iterator[SendPeer]:
+        member = self.control.roster.member(sender.partition('/')[0])
+        if member is not None:
+            address = member['agent_peer']
+            yield SendPeer(sender, address, message, now + SEND_S)
