Capacity counts changes as nodes spread them; work per change shrinks

Cause: the capacity benchmark reckoned whole configurations (686 KB/s) and the agent's decoding only. Measured with real nodes, the leaf took 3.7 us a target and change (0.31 s at the design size, 2.6% of a core for the three processes, bound 2.1%): it looked for the owner of every target that it does not own and made new limits for each. The check of a note took 16 us a target and more at larger sizes: it built the set of all targets for each shard.

Change: capacity_spread.py runs agents, entries and leaves on 720 and 3,600 targets, counts the bytes of each kind of change and times applying it in all three processes; newcomers' whole content is added. The bounds stay 9 KB/s and 2.1%; the processor check covers three processes instead of one, and no change may be sent whole. The leaf follows changed targets, limits are shared (targets/fleet.py, targets/limits.py), the check looks targets up.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -9,18 +9,26 @@
 import time
 import tracemalloc
 from collections.abc import Callable
+from functools import partial
 from random import Random
 from typing import Any, NamedTuple
 
 import msgspec
 
+from benchmarks.capacity_spread import (
+    apply_seconds,
+    measure_spread,
+    write_seconds,
+)
 from benchmarks.report import Check, Report, at_most, benchmark
 from rosemaryweir.compose import Node
 from rosemaryweir.config.content import (
+    CHUNK_BYTES,
+    chunk_key,
     decode_config,
-    digest_of,
     encode_config,
 )
+from rosemaryweir.config.delta import held_of
 from rosemaryweir.node.event import Wake
 from rosemaryweir.node.state import Lease
 from rosemaryweir.schema.generated.config import Config
@@ -39,6 +47,7 @@
 SERVERS = 83_000
 DOMAINS = 11
 CHANGES_PER_DAY = 7000
+REPLACEMENTS_PER_DAY = 9900
 SECONDS_PER_DAY = 86_400
 CONTROL_BYTES_PER_S = 9000.0
 CONTROL_MB = 256.0
@@ -47,6 +56,13 @@
 REPLICAS = 3
 MB = 1_000_000
 REPEATS = 3
+ROLES = ('agent', 'entry', 'leaf')
+
+#: Targets in the runs that count bytes of changes.
+SPREAD_SIZES = (720, 3600)
+
+#: Reads of the head a second by a VM that watches.
+HEAD_READS_PER_S = 2.0
 
 
 class Slope(NamedTuple):
@@ -61,7 +77,10 @@
 
 
 def _slope(low: int, high: int, cost: Callable[[int], float]) -> Slope:
-    small, large = cost(low), cost(high)
+    return _line(low, high, cost(low), cost(high))
+
+
+def _line(low: int, high: int, small: float, large: float) -> Slope:
     each = (large - small) / (high - low)
     return Slope(max(small - each * low, 0.0), each)
 
@@ -145,6 +164,10 @@
     return _memory(build)
 
 
+def _apply_seconds(role: str, targets: int) -> float:
+    return apply_seconds(role, _deployment(targets), REPEATS)
+
+
 def _costs(low: int, high: int) -> dict[str, Slope]:
     encoded = {size: encode_config(_config(size)) for size in (low, high)}
     return {
@@ -165,9 +188,18 @@
             low,
             high,
             lambda size: _seconds(
-                lambda: digest_of(encode_config(decode_config(encoded[size]))),
+                lambda: held_of(decode_config(encoded[size])),
             ),
         ),
+        'note_write_s_per_target': _slope(
+            low, high, lambda size: write_seconds(_deployment(size))
+        ),
+        **{
+            f'{role}_apply_s_per_target': _slope(
+                low, high, partial(_apply_seconds, role)
+            )
+            for role in ROLES
+        },
         'view_bytes_per_member': _slope(
             100,
             1000,
@@ -185,12 +217,35 @@
     }
 
 
+def _spread(seed: int) -> tuple[dict[str, Slope], int]:
+    """Return the bytes of a change, and how often whole content was sent."""
+    low, high = SPREAD_SIZES
+    found = {
+        size: measure_spread(_deployment(size), seed) for size in SPREAD_SIZES
+    }
+    fields = {size: each._asdict() for size, each in found.items()}
+    slopes = {
+        f'change_{name}_bytes': _line(low, high, small, fields[high][name])
+        for name, small in fields[low].items()
+        if name != 'whole'
+    }
+    return slopes, sum(each.whole for each in found.values())
+
+
 def _at_design_size(costs: dict[str, Slope]) -> dict[str, float]:
     changes_per_s = CHANGES_PER_DAY / SECONDS_PER_DAY
     config_memory = costs['config_memory_per_target'].at(SERVERS)
     view_memory = costs['view_memory_per_member'].at(NODES)
     config_bytes = costs['config_bytes_per_target'].at(SERVERS)
-    apply_s = costs['config_digest_s_per_target'].at(SERVERS)
+    apply_s = {
+        role: costs[f'{role}_apply_s_per_target'].at(SERVERS) for role in ROLES
+    }
+    newcomers_per_s = REPLACEMENTS_PER_DAY / SECONDS_PER_DAY / NODES
+    changes = costs['change_node_bytes'].at(SERVERS) * changes_per_s
+    # What one VM gets another sends.
+    newcomers = 2 * config_bytes * newcomers_per_s
+    chunk_names = config_bytes / CHUNK_BYTES * len(chunk_key(32 * 'f', 0))
+    view_bytes = costs['view_bytes_per_member'].at(NODES) / DOMAINS
     owned = SERVERS / NODES
     return {
         'config_mb': config_bytes / MB,
@@ -199,12 +254,23 @@
         'entry_parts_mb': costs['entry_memory_per_target'].at(SERVERS) / MB,
         'leaf_parts_mb': costs['leaf_memory_per_owned_target'].at(owned) / MB,
         'control_memory_mb': (config_memory + view_memory) / MB,
-        'whole_config_bytes_per_s': config_bytes * changes_per_s,
-        'apply_core': apply_s * changes_per_s,
+        'change_bytes_per_s': changes,
+        'newcomer_bytes_per_s': newcomers,
+        'config_bytes_per_s': changes + newcomers,
+        'watcher_head_bytes_per_s': (
+            (costs['change_head_bytes'].at(SERVERS) + chunk_names)
+            * HEAD_READS_PER_S
+        ),
+        'views_bytes_per_s': (
+            2 * view_bytes * REPLACEMENTS_PER_DAY / SECONDS_PER_DAY
+        ),
+        **{f'{role}_apply_s': cost for role, cost in apply_s.items()},
+        'apply_core': sum(apply_s.values()) * changes_per_s,
+        'note_write_s': costs['note_write_s_per_target'].at(SERVERS),
     }
 
 
-def _checks(design: dict[str, float]) -> tuple[Check, ...]:
+def _checks(design: dict[str, float], whole: int) -> tuple[Check, ...]:
     return (
         at_most(
             'control memory in MB, extrapolated',
@@ -212,10 +278,11 @@
             CONTROL_MB,
         ),
         at_most(
-            'bytes a second of whole configurations, extrapolated',
-            design['whole_config_bytes_per_s'],
+            'bytes a second of configurations, extrapolated',
+            design['config_bytes_per_s'],
             CONTROL_BYTES_PER_S,
         ),
+        at_most('messages of whole content for changes', whole, 0),
         at_most(
             'share of a core to apply changes, extrapolated',
             design['apply_core'],
@@ -229,10 +296,12 @@
     """Measure the slopes of state and carry them to the design size."""
     low, high = (720, 3600) if quick else (3600, 18_000)
     costs = _costs(low, high)
+    spread, whole = _spread(seed)
+    costs.update(spread)
     design = _at_design_size(costs)
     figures: dict[str, Any] = {
         'measured_at': [low, high],
         **{name: slope.each for name, slope in costs.items()},
         'at_design_size': design,
     }
-    return Report('capacity', seed, figures, {}, _checks(design))
+    return Report('capacity', seed, figures, {}, _checks(design, whole))
--- /dev/null
+++ b/benchmarks/capacity_spread.py
@@ -0,0 +1,244 @@
+"""What a change of the configuration costs: bytes between VMs, work in each.
+
+Real agents, entries and leaves run in virtual time on configurations of two
+sizes.  A replaced server, a domain taken out or in, a service with other
+slots and a tenant with another weight are submitted as notes; bytes are those
+of the messages that carry configuration from VM to VM.
+"""
+
+import itertools
+import time
+from collections.abc import Callable, Iterator
+from random import Random
+from typing import Any, NamedTuple
+
+import msgspec
+
+from rosemaryweir.compose import Node
+from rosemaryweir.config.delta import difference, held_of
+from rosemaryweir.config.head import HEAD_KEY, RECENT_KEPT, decode_head
+from rosemaryweir.config.note import apply
+from rosemaryweir.membership.ranks import WATCHERS
+from rosemaryweir.node.event import PeerMessage, Wake
+from rosemaryweir.node.state import Lease
+from rosemaryweir.schema.generated.config import Config
+from rosemaryweir.schema.generated.control import Delta
+from rosemaryweir.testing.cluster import Cluster
+from rosemaryweir.testing.deployment import (
+    Deployment,
+    config_of,
+    note_of,
+    vm_settings,
+)
+from rosemaryweir.testing.process import static_view
+
+__all__ = ['Spread', 'apply_seconds', 'measure_spread', 'write_seconds']
+
+#: Messages that carry configuration from VM to VM, or ask for it.
+KINDS = ('fetch', 'deltas', 'content')
+
+VMS = 33
+SETTLE_S = 4.0
+NOTE_S = 2.0
+ROUNDS = 3
+
+Change = Callable[[Config, int], dict[str, Any]]
+
+
+class Spread(NamedTuple):
+    """Bytes of one change, at the mean of the kinds of changes.
+
+    ``node`` is what a VM that doesn't watch sends and gets; ``largest`` is
+    that of the kind that costs most; ``whole`` counts messages of whole
+    content; ``head`` is the size of a full head, ``delta`` of a stored delta.
+    """
+
+    node: float
+    largest: float
+    whole: int
+    head: float
+    delta: float
+
+
+def _replaced_server(config: Config, number: int) -> dict[str, Any]:
+    service = next(iter(config['services']))
+    shards = config['services'][service]['shards']
+    shard = list(shards)[number % len(shards)]
+    old, *rest = shards[shard]['targets']
+    new = f'{service}-new-{number:04d}'
+    target = {**config['targets'][old], 'address': f'127.0.0.9:{9000 + number}'}
+    changed = {**shards, shard: {'targets': [new, *rest]}}
+    return {
+        'added': {'targets': {new: target}},
+        'changed': {'services': {service: {'shards': changed}}},
+        'withdrawn': {'targets': [old]},
+    }
+
+
+def _domain_state(config: Config, number: int) -> dict[str, Any]:
+    name = next(iter(config['domains']))
+    before = config['domains'][name]['state']
+    state = 'out' if before == 'in' else 'in'
+    return {'changed': {'domains': {name: {'state': state}}}}
+
+
+def _service_slots(config: Config, number: int) -> dict[str, Any]:
+    name = next(iter(config['services']))
+    return {'changed': {'services': {name: {'slots': 4 + number}}}}
+
+
+def _tenant_weight(config: Config, number: int) -> dict[str, Any]:
+    return {'changed': {'tenants': {'default': {'weight': 2 + number}}}}
+
+
+CHANGES: tuple[Change, ...] = (
+    _replaced_server,
+    _domain_state,
+    _service_slots,
+    _tenant_weight,
+)
+
+
+def measure_spread(deployment: Deployment, seed: int) -> Spread:
+    """Submit notes of every kind to a deployment; count what they move."""
+    moved = {kind: 0 for kind in KINDS}
+    whole = itertools.count()
+
+    def size_of(message: Any) -> int:
+        kind = message['kind']
+        if kind in moved:
+            moved[kind] += len(msgspec.msgpack.encode(message))
+        if kind == 'content':
+            next(whole)
+        return 0
+
+    cluster = Cluster(
+        vm_settings(deployment, VMS),
+        config_of(deployment),
+        seed,
+        size_of=size_of,
+    )
+    cluster.run(SETTLE_S)
+    _submit(cluster, dict(note_of(deployment)))
+    cluster.run(SETTLE_S)
+    before_whole = next(whole)
+    costs = []
+    for change in CHANGES:
+        before = sum(moved.values())
+        for number in range(ROUNDS):
+            _submit_change(cluster, change, number)
+        costs.append((sum(moved.values()) - before) / ROUNDS)
+    # Each message is sent once and received once.
+    each = [
+        2 * cost / (VMS - WATCHERS * len(deployment.domains)) for cost in costs
+    ]
+    return Spread(
+        sum(each) / len(each),
+        max(each),
+        next(whole) - before_whole - 1,
+        _full_head(cluster),
+        _mean_delta(cluster),
+    )
+
+
+def apply_seconds(role: str, deployment: Deployment, repeats: int) -> float:
+    """Return the processor time that a change takes a process of a role."""
+    config = config_of(deployment)
+    node = _node(role, deployment, config)
+    times = []
+    for now, delta in enumerate(_deltas(config, repeats), 11):
+        event = _event(role, delta)
+        began = time.process_time()
+        tuple(node.handle(event, float(now)))
+        tuple(node.handle(Wake(), now + 0.5))
+        times.append(time.process_time() - began)
+        assert node.state.config['generation'] == delta['generation']
+    return min(times)
+
+
+def write_seconds(deployment: Deployment) -> float:
+    """Return the processor time of checking and making a note's result."""
+    config = config_of(deployment)
+    note: Any = {
+        'note': 'n-1',
+        'format': 1,
+        'base': config['generation'],
+        **_replaced_server(config, 0),
+    }
+    began = time.process_time()
+    difference(config, held_of(apply(note, config)))
+    return time.process_time() - began
+
+
+def _submit_change(cluster: Cluster, change: Change, number: int) -> None:
+    agent = cluster.processes['vm-000/agent']
+    config = agent.node.state.config
+    base = config['generation']
+    fields = change(config, number)
+    _submit(cluster, {'note': f'n-{base}', 'format': 1, 'base': base, **fields})
+    cluster.run(NOTE_S)
+
+
+def _submit(cluster: Cluster, note: dict[str, Any]) -> None:
+    ask = cluster.ask('vm-000', 'note', note, role='agent')
+    cluster.run(NOTE_S)
+    if ask.status != 200:
+        raise AssertionError(ask.answer)
+
+
+def _full_head(cluster: Cluster) -> float:
+    """Return the size of the head when it remembers all that it may."""
+    obj = cluster.store.objects[HEAD_KEY]
+    recent = decode_head(obj)['recent']
+    each = len(msgspec.json.encode(recent)) / len(recent)
+    return len(obj.content) + each * (RECENT_KEPT - len(recent))
+
+
+def _mean_delta(cluster: Cluster) -> float:
+    sizes = [
+        len(obj.content)
+        for key, obj in cluster.store.objects.items()
+        if key.startswith('config/delta/')
+    ]
+    return sum(sizes) / len(sizes)
+
+
+def _deltas(config: Config, count: int) -> Iterator[Delta]:
+    for number in range(count):
+        note: Any = {
+            'note': f'n-{number}',
+            'format': 1,
+            'base': config['generation'],
+            **_replaced_server(config, number),
+        }
+        made = held_of(apply(note, config))
+        yield difference(config, made)
+        config = made.config
+
+
+def _event(role: str, delta: Delta) -> PeerMessage:
+    if role == 'agent':
+        message: Any = {'kind': 'deltas', 'deltas': [delta]}
+        return PeerMessage('vm-001/agent', 1, message)
+    message = {
+        'kind': 'configured',
+        'generation': delta['generation'],
+        'content': '',
+        'deltas': [delta],
+    }
+    return PeerMessage('vm-000/agent', 1, message)
+
+
+def _node(role: str, deployment: Deployment, config: Config) -> Node:
+    settings = vm_settings(deployment, len(deployment.domains))
+    node = Node.from_config(settings[0], role, 1, Random(1))
+    state = node.state
+    state.take_config(config)
+    state.lease = Lease(float('inf'), '')
+    for name in config['domains']:
+        state.take_view(static_view(name, settings))
+    tuple(node.handle(Wake(), 10.0))
+    # The sum of a configuration that came whole is made when it comes.
+    wrong: Any = {**next(_deltas(config, 1)), 'digest': ''}
+    tuple(node.handle(_event(role, wrong), 10.0))
+    return node
--- a/rosemaryweir/config/head.py
+++ b/rosemaryweir/config/head.py
@@ -35,7 +35,14 @@
 from rosemaryweir.schema.generated.config import Config
 from rosemaryweir.schema.generated.control import Applied, Head
 
-__all__ = ['HEAD_KEY', 'NoteWriter', 'Outcome', 'decode_head', 'empty_head']
+__all__ = [
+    'HEAD_KEY',
+    'RECENT_KEPT',
+    'NoteWriter',
+    'Outcome',
+    'decode_head',
+    'empty_head',
+]
 
 HEAD_KEY = 'config/head'
 
--- a/rosemaryweir/config/references.py
+++ b/rosemaryweir/config/references.py
@@ -53,8 +53,10 @@
     path = f'$.services.{name}'
     if not service['shards']:
         yield Finding(f'{path}.shards', 'is empty', 'name at least one shard')
+    known = config['targets']
     for shard, held in sorted(service['shards'].items()):
-        missing = sorted(set(held['targets']) - set(config['targets']))
+        named = set(held['targets'])
+        missing = sorted(each for each in named if each not in known)
         for target in missing:
             yield Finding(
                 f'{path}.shards.{shard}.targets',
--- a/rosemaryweir/targets/fleet.py
+++ b/rosemaryweir/targets/fleet.py
@@ -156,10 +156,19 @@
         for target in old['targets'].keys() - self._config['targets'].keys():
             self.handover.drop(target)
         for domain, names in self._by_domain.items():
-            self.handover.track(domain, names)
+            self.handover.track(domain, self._changed(names, old))
         for target in self.exclusions.names():
             self._lift(target, 0)
 
+    def _changed(self, names: Iterable[str], old: Config) -> Iterator[str]:
+        """Yield targets that are new or were changed; others keep owners."""
+        present = self._config['targets']
+        before = old['targets']
+        for name in names:
+            known = before.get(name)
+            if known is not present[name] and known != present[name]:
+                yield name
+
     def _chill_unowned(self, now: float) -> None:
         for name, account in self.accounts.items():
             if not self.handover.ready(name, now):
--- a/rosemaryweir/targets/limits.py
+++ b/rosemaryweir/targets/limits.py
@@ -68,8 +68,9 @@
     for service in config['services'].values():
         limits = Limits.from_config(service)
         for target in _targets_of(service):
-            known = found.get(target, limits)
-            found[target] = known.tightest(limits)
+            known = found.setdefault(target, limits)
+            if known is not limits:
+                found[target] = known.tightest(limits)
     return found
 
 
