--- /dev/null
+++ b/rosemaryweir/config/note_answers.py
@@ -0,0 +1,88 @@
+"""Answers to operators: what became of a note, or why it was refused."""
+
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from rosemaryweir.config.head import NoteWriter, Outcome
+from rosemaryweir.exception import Finding
+from rosemaryweir.node.action import ReplyCaller
+from rosemaryweir.schema.generated.control import NoteAnswer
+from rosemaryweir.schema.generated.http import Finding as FindingBody
+from rosemaryweir.schema.generated.http import Refusal
+
+__all__ = [
+    'HTTP_UNAVAILABLE',
+    'answer',
+    'refuse',
+    'refuse_findings',
+    'reply_ok',
+]
+
+HTTP_OK = 200
+HTTP_MALFORMED = 400
+HTTP_CONFLICT = 409
+HTTP_UNAVAILABLE = 503
+
+RETRY_AFTER_MS = 1000
+
+STATUSES = {
+    'malformed': HTTP_MALFORMED,
+    'conflict': HTTP_CONFLICT,
+    'store_down': HTTP_UNAVAILABLE,
+    'unknown': HTTP_UNAVAILABLE,
+}
+
+
+def reply_ok(req: int, body: Mapping[str, Any]) -> ReplyCaller:
+    """Return the reply to a request that was answered."""
+    return ReplyCaller(req, HTTP_OK, body)
+
+
+def answer(req: int, writer: NoteWriter, outcome: Outcome) -> ReplyCaller:
+    """Return the reply that tells what became of a note."""
+    if outcome.state in {'accepted', 'already'}:
+        body = NoteAnswer(
+            note=writer.note['note'],
+            generation=outcome.generation,
+            state=outcome.state,  # type: ignore[typeddict-item]
+            plan=list(outcome.plan),
+        )
+        return reply_ok(req, body)
+    if outcome.state == 'malformed':
+        return refuse_findings(req, outcome.findings)
+    reason = 'store_down' if outcome.state == 'unknown' else outcome.state
+    ran = 'unknown' if outcome.state == 'unknown' else 'not_run'
+    return refuse(req, STATUSES[outcome.state], reason, outcome.detail, ran)
+
+
+def refuse(
+    req: int,
+    status: int,
+    reason: str,
+    detail: str,
+    ran: str = 'not_run',
+) -> ReplyCaller:
+    """Return the reply that refuses a request."""
+    body = Refusal(
+        reason=reason,  # type: ignore[typeddict-item]
+        ran=ran,  # type: ignore[typeddict-item]
+        detail=detail,
+        retry_after_ms=RETRY_AFTER_MS,
+    )
+    return ReplyCaller(req, status, body)
+
+
+def refuse_findings(req: int, findings: Iterable[Finding]) -> ReplyCaller:
+    """Return the reply that names everything wrong with a note."""
+    body = Refusal(
+        reason='malformed',
+        ran='not_run',
+        detail='nothing was applied',
+        findings=[_finding_body(each) for each in findings],
+    )
+    return ReplyCaller(req, HTTP_MALFORMED, body)
+
+
+def _finding_body(finding: Finding) -> FindingBody:
+    path, problem, hint = finding
+    return FindingBody(path=path, problem=problem, hint=hint)
--- a/rosemaryweir/config/note_service.py
+++ b/rosemaryweir/config/note_service.py
@@ -1,7 +1,7 @@
 """Operators' notes at the agent: check, plan, write, answer."""
 
 from collections import deque
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 from random import Random
 from typing import Any, NamedTuple
 
@@ -9,10 +9,16 @@
 
 from rosemaryweir.config.head import NoteWriter, Outcome
 from rosemaryweir.config.note import check, plan
-from rosemaryweir.exception import Finding
+from rosemaryweir.config.note_answers import (
+    HTTP_UNAVAILABLE,
+    answer,
+    refuse,
+    refuse_findings,
+    reply_ok,
+)
 from rosemaryweir.membership.control import control_of
 from rosemaryweir.membership.ranks import children, rank_of
-from rosemaryweir.node.action import Action, LogEvent, ReplyCaller, SendPeer
+from rosemaryweir.node.action import Action, LogEvent, SendPeer
 from rosemaryweir.node.catalogue import register_event
 from rosemaryweir.node.event import (
     CallerRequest,
@@ -27,14 +33,11 @@
     IntentAck,
     IntentSent,
     Member,
-    NoteAnswer,
     PlanAnswer,
     Settled,
 )
-from rosemaryweir.schema.generated.http import Finding as FindingBody
-from rosemaryweir.schema.generated.http import Refusal
 
-__all__ = ['NoteService', 'reply_ok']
+__all__ = ['NoteService']
 
 NOTE_SETTLED = register_event(
     510,
@@ -51,11 +54,6 @@
 
 TOPIC = 'note'
 
-HTTP_OK = 200
-HTTP_MALFORMED = 400
-HTTP_CONFLICT = 409
-HTTP_UNAVAILABLE = 503
-
 #: Notes that wait at one agent.
 QUEUE = 16
 
@@ -77,15 +75,6 @@
 #: Time after which an unsent message is worth nothing, in seconds.
 SEND_S = 0.5
 
-RETRY_AFTER_MS = 1000
-
-STATUSES = {
-    'malformed': HTTP_MALFORMED,
-    'conflict': HTTP_CONFLICT,
-    'store_down': HTTP_UNAVAILABLE,
-    'unknown': HTTP_UNAVAILABLE,
-}
-
 
 class Submission(NamedTuple):
     """A note and the request that brought it."""
@@ -149,7 +138,7 @@
     def submit(self, event: CallerRequest, now: float) -> Iterator[Action]:
         """Take a note."""
         if len(self._queue) >= QUEUE:
-            yield _refuse(event.req, HTTP_UNAVAILABLE, 'overloaded', 'queue')
+            yield refuse(event.req, HTTP_UNAVAILABLE, 'overloaded', 'queue')
             return
         self._queue.append(Submission(event.req, event.body, now))
         yield from self._next(now)
@@ -161,7 +150,7 @@
         checked = check(event.body, config)
         if isinstance(checked, Failure):
             found = checked.failure()
-            yield _refuse_findings(event.req, found)
+            yield refuse_findings(event.req, found)
             return
         note = checked.unwrap()
         body = PlanAnswer(
@@ -295,7 +284,7 @@
             },
         )
         if current is not None and not self._answered:
-            yield _answer(current.req, writer, outcome)
+            yield answer(current.req, writer, outcome)
         if outcome.state == 'accepted' and writer.made is not None:
             self.control.arrived.append(writer.made)
         if self._intent:
@@ -318,7 +307,7 @@
             'store_down' if sure else 'unknown',
             detail='the store does not answer; send the same note again',
         )
-        yield _answer(self._current.req, self._writer, outcome)
+        yield answer(self._current.req, self._writer, outcome)
         if sure:
             self._writer = None
             yield from self._next(now)
@@ -336,58 +325,6 @@
             yield _send(member, message, now)
 
 
-def reply_ok(req: int, body: Mapping[str, Any]) -> ReplyCaller:
-    """Return the reply to a request that was answered."""
-    return ReplyCaller(req, HTTP_OK, body)
-
-
-def _answer(req: int, writer: NoteWriter, outcome: Outcome) -> ReplyCaller:
-    if outcome.state in {'accepted', 'already'}:
-        body = NoteAnswer(
-            note=writer.note['note'],
-            generation=outcome.generation,
-            state=outcome.state,  # type: ignore[typeddict-item]
-            plan=list(outcome.plan),
-        )
-        return reply_ok(req, body)
-    if outcome.state == 'malformed':
-        return _refuse_findings(req, outcome.findings)
-    reason = 'store_down' if outcome.state == 'unknown' else outcome.state
-    ran = 'unknown' if outcome.state == 'unknown' else 'not_run'
-    return _refuse(req, STATUSES[outcome.state], reason, outcome.detail, ran)
-
-
-def _refuse(
-    req: int,
-    status: int,
-    reason: str,
-    detail: str,
-    ran: str = 'not_run',
-) -> ReplyCaller:
-    body = Refusal(
-        reason=reason,  # type: ignore[typeddict-item]
-        ran=ran,  # type: ignore[typeddict-item]
-        detail=detail,
-        retry_after_ms=RETRY_AFTER_MS,
-    )
-    return ReplyCaller(req, status, body)
-
-
-def _refuse_findings(req: int, findings: Iterable[Finding]) -> ReplyCaller:
-    body = Refusal(
-        reason='malformed',
-        ran='not_run',
-        detail='nothing was applied',
-        findings=[_finding_body(each) for each in findings],
-    )
-    return ReplyCaller(req, HTTP_MALFORMED, body)
-
-
-def _finding_body(finding: Finding) -> FindingBody:
-    path, problem, hint = finding
-    return FindingBody(path=path, problem=problem, hint=hint)
-
-
 def _send(
     member: Member,
     message: Mapping[str, Any],
--- a/rosemaryweir/config/service.py
+++ b/rosemaryweir/config/service.py
@@ -7,12 +7,12 @@
 import msgspec
 from returns.result import Failure
 
-from rosemaryweir.config import note_service
 from rosemaryweir.config.chain import ChainFetch, delta_key, links_after
 from rosemaryweir.config.fence import HEAD
 from rosemaryweir.config.head import HEAD_KEY, decode_head
 from rosemaryweir.config.kept import DELTA_REFUSED
 from rosemaryweir.config.loader import Loaded, Loader
+from rosemaryweir.config.note_answers import reply_ok
 from rosemaryweir.membership.calls import Calls
 from rosemaryweir.membership.control import control_of
 from rosemaryweir.node.action import (
@@ -41,7 +41,7 @@
     Hello,
 )
 
-__all__ = ['ConfigService', 'note_service']
+__all__ = ['ConfigService']
 
 CONFIG_IN_FORCE = register_event(
     500,
@@ -160,7 +160,7 @@
     @handles(CallerRequest, 'config')
     def show(self, event: CallerRequest, now: float) -> Iterator[Action]:
         """Show the configuration in force."""
-        yield note_service.reply_ok(event.req, self.state.config)
+        yield reply_ok(event.req, self.state.config)
 
     def put_in_force(self, loaded: Loaded, now: float) -> Iterator[Action]:
         """Put a newer configuration in force, here and in the VM."""
