--- a/benchmarks/faults/mutations.py
+++ b/benchmarks/faults/mutations.py
@@ -18,7 +18,7 @@
 from rosemaryweir.node.event import TargetReply
 from rosemaryweir.node.node import Node
 from rosemaryweir.node.state import Lease, NodeState
-from rosemaryweir.orders import bucket, desk
+from rosemaryweir.orders import bucket, desk, endings
 from rosemaryweir.orders.answer import Denial, answer_order
 from rosemaryweir.query.merge import Merge, Merged
 from rosemaryweir.query.request import refuse
@@ -162,7 +162,7 @@
     'answer with the reply of another order',
     'P5',
     ('order runs', 'straggler'),
-    desk,
+    endings,
     'answer_order',
 )
 def other_reply(req: int, order_key: str, *rest: Any) -> ReplyCaller:
@@ -254,7 +254,7 @@
 def deny_falsely(self: desk.OrderDesk, order: Any, now: float) -> Iterator[Any]:
     """Refuse an order that has left."""
     denial = Denial('deadline', 'not_run', '')
-    yield from self._release(order, denial, now)
+    yield from self.endings.release(order, denial, now)
 
 
 @mutation(
@@ -269,7 +269,7 @@
     order.deadline = now + 1.0
     order.late_until = now + 1.0
     self.book.set_timer(order)
-    yield from self._send_anew(order, 'no answer', now)
+    yield from self.sender.send_anew(order, 'no answer', now)
 
 
 @mutation(
--- a/benchmarks/order_baselines.py
+++ b/benchmarks/order_baselines.py
@@ -61,6 +61,7 @@
             desk = process.node.part(OrderService).desk
             if not isinstance(desk.logs, _NoClaims):
                 desk.logs = _NoClaims(Random(1))
+                desk.endings.logs = desk.logs
 
 
 def unclaimed(
