Congested targets are no stragglers; retries never cease

One entry's retry tokens ran out, its queries waited for pieces nobody tried, so that none succeeded and no token came: 1.1 s of standstill, answers past the deadline. Change: the time that the leaf tells of its target (service without the wait, over all entries) decides what is no straggler (below 1.5 medians), and what is one sooner (above 4 with a third of own attempts late). A quick trial clears a target. 50 retries a second are allowed in any case.

--- a/rosemaryweir/query/budget.py
+++ b/rosemaryweir/query/budget.py
@@ -27,6 +27,18 @@
         self.share = share
         self.burst = burst
         self.tokens = burst
+        self._trickled = 0.0
+
+    def trickle(self, rate: float, now: float) -> None:
+        """Let tokens come with time, so many a second, up to one.
+
+        Where nothing succeeds no tokens are earned, and nothing would ever
+        be tried again.
+        """
+        passed = now - self._trickled
+        self._trickled = now
+        if self.tokens < 1:
+            self.tokens = min(1.0, self.tokens + rate * passed)
 
     def earn(self, count: int = 1) -> None:
         """Count attempts that earn tokens."""
--- a/rosemaryweir/query/retry.py
+++ b/rosemaryweir/query/retry.py
@@ -2,12 +2,21 @@
 
 from random import Random
 
-__all__ = ['RETRY_BURST', 'RETRY_SHARE', 'backoff', 'elsewhere', 'worth_it']
+__all__ = [
+    'RETRY_BURST',
+    'RETRY_RATE',
+    'RETRY_SHARE',
+    'backoff',
+    'elsewhere',
+    'worth_it',
+]
 
 #: Retries that the successes of a service allow for.
 RETRY_SHARE = 0.1
 #: Retries that are allowed at once.
 RETRY_BURST = 200
+#: Retries a second that are allowed in any case.
+RETRY_RATE = 50
 #: First wait of a shard that no replica serves, in seconds.
 FIRST_WAIT_S = 0.005
 #: Longest such wait, in seconds.
--- a/rosemaryweir/query/runner.py
+++ b/rosemaryweir/query/runner.py
@@ -14,7 +14,7 @@
 from rosemaryweir.query.plan import Fleet, Plan
 from rosemaryweir.query.repin import better_version
 from rosemaryweir.query.replica import Replica, choose, choose_other
-from rosemaryweir.query.retry import backoff, elsewhere, worth_it
+from rosemaryweir.query.retry import RETRY_RATE, backoff, elsewhere, worth_it
 from rosemaryweir.query.running import NEVER, Running, Wanted
 from rosemaryweir.query.sighting import VersionKey
 from rosemaryweir.schema.generated.query import Partial
@@ -224,6 +224,7 @@
     def _retry(self, query: Running, wanted: Wanted, now: float) -> None:
         if query.waits(wanted.shard):
             return
+        query.lane.retries.trickle(RETRY_RATE, now)
         replica = None
         if self.state.may_start(now):
             replica = self._other(query, wanted, wanted.tried, now)
--- a/rosemaryweir/query/sighting.py
+++ b/rosemaryweir/query/sighting.py
@@ -21,6 +21,7 @@
 GIVEN_UP_FOLD = 2
 #: How long a refusal of a version that may still arrive holds, in seconds.
 REFUSAL_S = 1
+MS = 1000
 #: Versions that are remembered for a target.
 KEPT_VERSIONS = 6
 
@@ -39,6 +40,9 @@
         Its slots.
     latency : float
         Running mean of the latency, in seconds.
+    service : float
+        Mean time from sending to reply as its leaf has it of all entries'
+        requests, without the wait at the leaf, in seconds; 0 for unknown.
     late : float
         Share of the latest attempts that were late.
     samples : int
@@ -66,6 +70,7 @@
         'samples',
         'seen',
         'served',
+        'service',
         'target',
         'trial',
         'weight',
@@ -78,6 +83,7 @@
         self.reported = 0
         self.reported_at = 0.0
         self.latency = UNKNOWN_LATENCY_S
+        self.service = 0.0
         self.late = 0.0
         self.samples = 0
         self.seen = 0.0
@@ -109,6 +115,8 @@
         It was late if it took longer than `slow`, which nearly all attempts
         at other targets do not.
         """
+        if self.trial and latency <= slow:
+            self.late = 0.0
         self.trial = False
         self.seen = now
         self.samples += 1
@@ -124,6 +132,7 @@
     def forget(self, prior: float) -> None:
         """Forget the latency: the target is tried one attempt at a time."""
         self.latency = prior
+        self.service = 0.0
         self.late = min(self.late, LATE_SHARE)
         self.samples = 0
         self.weight = 1
@@ -134,6 +143,7 @@
         ahead = load['in_flight'] + load['queued'] + 1
         self.reported = ahead * self.limit // max(1, load['limit']) - 1
         self.reported_at = now
+        self.service = load['latency_ms'] / MS
 
     def closes(self, now: float) -> None:
         """Take that its leaf may not use it now."""
--- a/rosemaryweir/query/straggler.py
+++ b/rosemaryweir/query/straggler.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable, Sequence
 from itertools import chain
 from statistics import median
+from typing import NamedTuple
 
 from rosemaryweir.query.sighting import Sighting
 
@@ -16,6 +17,12 @@
 CHECK_INTERVAL_S = 0.1
 #: A straggler is slower than the median by this factor.
 SLOW_FOLD = 4
+#: Share of its latest attempts that must have been late, if its leaf tells of
+#: a straggler.
+DOUBT_SHARE = 0.3
+#: A target whose leaf tells of less than this multiple of the median is no
+#: straggler, however long attempts wait for it.
+FAIR_FOLD = 1.5
 #: Latencies that must have been seen of a straggler.
 LEAST_SAMPLES = 4
 #: Share of the targets that may be ejected.
@@ -28,6 +35,13 @@
 LOAD_S = 0.25
 
 
+class Usual(NamedTuple):
+    """Medians over the targets of a service, in seconds; 0 for unknown."""
+
+    latency: float
+    service: float
+
+
 def eject(shards: Iterable[Sequence[Sighting]], now: float) -> list[str]:
     """Weigh the targets of a service; return those that are ejected.
 
@@ -43,16 +57,25 @@
     known = [each.latency for each in sights.values() if each.samples]
     if not known:
         return []
-    usual = median(known)
+    usual = Usual(
+        median(known),
+        median([each.service for each in sights.values() if each.service])
+        if any(each.service for each in sights.values())
+        else 0,
+    )
     for seen in sights.values():
-        _refresh(seen, usual, now)
+        _refresh(seen, usual.latency, now)
     slow = [each for each in sights.values() if _slow(each, usual)]
-    slow.sort(key=lambda each: -each.latency)
+    slow.sort(key=lambda each: (-each.service, -each.latency))
     return _capped(slow, groups, int(EJECTED_SHARE * len(sights)))
 
 
-def _slow(seen: Sighting, usual: float) -> bool:
-    far_off = seen.latency > SLOW_FOLD * usual
+def _slow(seen: Sighting, usual: Usual) -> bool:
+    if seen.late > DOUBT_SHARE and seen.service > SLOW_FOLD * usual.service:
+        return True
+    if 0 < seen.service < FAIR_FOLD * usual.service:
+        return False
+    far_off = seen.latency > SLOW_FOLD * usual.latency
     return seen.slow or (seen.samples >= LEAST_SAMPLES and far_off)
 
 
--- a/rosemaryweir/query/tests/test_choice.py
+++ b/rosemaryweir/query/tests/test_choice.py
@@ -147,3 +147,38 @@
     ]
     assert choose(replicas, (1, 1), Random(1), 1.1).target == 'u'
     assert choose(replicas, (1, 1), Random(1), 2.0).target == 't'
+
+
+def test_target_at_which_work_only_waits_is_no_straggler():
+    sights = [seen_with(f't{number}', 5) for number in range(5)]
+    for sight in sights:
+        sight.service = 0.012
+    crowded, straggler = sights[:2]
+    straggler.service = 0.03
+    for _ in range(6):
+        crowded.took(0.1, 0.05, 1.0)
+        straggler.took(0.1, 0.05, 1.0)
+    assert eject([sights], 1.0) == ['t1']
+    assert crowded.weight == 1
+
+
+def test_quick_trial_clears_a_straggler():
+    sight = seen_with('t', 5)
+    for _ in range(6):
+        sight.took(0.1, 0.05, 1.0)
+    sight.forget(0.01)
+    sight.took(0.01, 0.05, 8.0)
+    assert not sight.late
+
+
+def test_retries_go_on_where_nothing_succeeds():
+    budget = TokenBudget(0.1, 10)
+    budget.tokens = 0
+    budget.trickle(50, 100.0)
+    budget.spend()
+    budget.trickle(50, 100.01)
+    assert not budget.spend()
+    budget.trickle(50, 100.03)
+    assert budget.spend()
+    budget.trickle(50, 200.0)
+    assert budget.tokens <= 1
