Attempts that no target ran are told apart; closed targets are asked less

Change: the status page's not_run and the metric query.attempts_not_run count attempts that no target ran, by outcome; the demonstration's summary shows them apart. A target whose leaf may not use it is not asked for 40 ms after such an answer. The first attempt at a shard costs no retry token and is no extra one, whenever it goes. Found: of callers who hang up in the order of their arrival each lets the next one in for an instant; in the fake network, which may reorder messages, the cancellation can overtake the pieces, which then run for nobody.

--- a/rosemaryweir/cli/demo.py
+++ b/rosemaryweir/cli/demo.py
@@ -203,8 +203,14 @@
 def _extra_load(status: Mapping[str, Any]) -> str:
     queries = status['parts']['QueryService']
     first, extra = queries['first'], queries['extra']
-    share = extra / first if first else 0
-    return f'{first} attempts needed, {extra} extra ({share:.2%})'
+    not_run: Mapping[str, int] = queries['not_run']
+    ran = max(0, extra - sum(not_run.values()))
+    share = ran / first if first else 0
+    why = ', '.join(f'{count} {name}' for name, count in not_run.items())
+    return (
+        f'{first} attempts needed, {ran} more ran ({share:.2%}); '
+        f'refused before they ran: {why or "none"}'
+    )
 
 
 def _order_outcome(answer: Answer | CallFailed) -> str:
--- a/rosemaryweir/query/runner.py
+++ b/rosemaryweir/query/runner.py
@@ -1,5 +1,6 @@
 """Run queries: scatter, partials, hedges, retries, change of the pin."""
 
+from collections import Counter
 from collections.abc import Callable, Collection, Sequence
 from random import Random
 
@@ -57,6 +58,8 @@
         Chooses the replica of a first attempt.
     first, extra : int
         First attempts, and those beyond.
+    not_run : Counter
+        Attempts that no target ran, by outcome.
     """
 
     def __init__(
@@ -73,6 +76,7 @@
         self.pick: Pick = choose
         self.first = 0
         self.extra = 0
+        self.not_run: Counter[str] = Counter()
 
     def start(self, query: Running, now: float) -> None:
         """Pin the query and send a piece for each of its shards."""
@@ -82,7 +86,7 @@
         key = query.key
         for shard, wanted in query.wanted.items():
             replica = self.pick(replicas[shard], key, self.rng, now)
-            if replica is None:
+            if replica is None or replica.sight.shut(now):
                 self._postpone(wanted, now)
             else:
                 self._send(query, wanted, replica, now)
@@ -102,7 +106,9 @@
         wanted = query.wanted.get(attempt.shard)
         if wanted is not None:
             wanted.open.remove(attempt)
-        if piece['ran'] != 'no':
+        if piece['ran'] == 'no':
+            self.not_run[piece['outcome']] += 1
+        else:
             query.ran = True
         if piece['outcome'] == 'ok':
             self._served(query, attempt, piece, now)
@@ -232,12 +238,13 @@
             return
         if (
             replica is None
+            or replica.sight.shut(now)
             or not worth_it(replica.sight.weight > 1, wanted.rounds)
-            or not query.lane.retries.spend()
+            or not (wanted.attempts == 0 or query.lane.retries.spend())
         ):
             self._postpone(wanted, now)
         else:
-            self.extra += 1
+            self.extra += wanted.attempts > 0
             self._send(query, wanted, replica, now)
 
     def _better(self, query: Running, now: float) -> bool:
--- a/rosemaryweir/query/service.py
+++ b/rosemaryweir/query/service.py
@@ -125,6 +125,7 @@
         self.fleet.take_loads(message, now)
         query = self.running.get(message['query'])
         strays = self.attempts.strays
+        not_run = self.runner.not_run.copy()
         for piece in message['pieces']:
             attempt = self.attempts.claim(
                 message['query'],
@@ -134,6 +135,13 @@
             if attempt is not None and query is not None:
                 health.heard(now - attempt.sent, now)
                 self.runner.take(query, attempt, piece, now)
+        for outcome, count in (self.runner.not_run - not_run).items():
+            yield Metric(
+                'count',
+                'query.attempts_not_run',
+                count,
+                {'outcome': outcome, 'leaf': event.sender},
+            )
         if self.attempts.strays > strays:
             yield LogEvent(STRAY, {'leaf': event.sender})
         if restarted:
@@ -180,6 +188,7 @@
             'attempts': self.attempts.status(),
             'first': self.runner.first,
             'extra': self.runner.extra,
+            'not_run': dict(self.runner.not_run),
             'silent_leaves': [
                 health.name
                 for health in self.fleet.leaves.values()
--- a/rosemaryweir/query/sighting.py
+++ b/rosemaryweir/query/sighting.py
@@ -17,6 +17,8 @@
 UNKNOWN_LATENCY_S = 0.01
 #: How long a target whose leaf may not use it is passed over, in seconds.
 CLOSED_S = 0.25
+#: Time after such a refusal in which it is not asked at all, in seconds.
+SHUT_S = 0.04
 #: An attempt given up counts as this multiple of the time waited for it.
 GIVEN_UP_FOLD = 2
 #: How long a refusal of a version that may still arrive holds, in seconds.
@@ -149,6 +151,10 @@
         """Take that its leaf may not use it now."""
         self.closed_until = now + CLOSED_S
 
+    def shut(self, now: float) -> bool:
+        """Return whether its leaf said a moment ago that it may not use it."""
+        return now < self.closed_until - CLOSED_S + SHUT_S
+
     def serves(self, key: VersionKey) -> bool:
         """Take that it served a version; return whether that is news."""
         if key == self.current:
--- /dev/null
+++ b/rosemaryweir/query/tests/test_accounts.py
@@ -0,0 +1,160 @@
+"""Accounts of a whole cluster after callers and processes have gone."""
+
+from random import Random
+
+import pytest
+
+from rosemaryweir.query.service import QueryService
+from rosemaryweir.schema.generated.config import ClassPolicy
+from rosemaryweir.targets.service import TargetService
+from rosemaryweir.testing import (
+    Cluster,
+    Deployment,
+    ServiceSize,
+    config_of,
+    vm_settings,
+)
+
+DEADLINE_S = 1.0
+SIZE = Deployment(
+    'small',
+    ('a', 'b', 'c'),
+    (ServiceSize('find', 'query', 6, 3, 2, 20, 1.0),),
+    {
+        'default': ClassPolicy(
+            deadline_ms=1000,
+            answer='complete',
+            coverage_floor=0.9,
+        ),
+        'early': ClassPolicy(
+            deadline_ms=1000,
+            answer='early',
+            early_ms=100,
+            coverage_floor=0.6,
+        ),
+    },
+)
+
+
+@pytest.fixture
+def cluster():
+    made = Cluster(vm_settings(SIZE, 3), config_of(SIZE), seed=3, static=True)
+    for target in made.targets.values():
+        target.cold = False
+    made.run(2.5)
+    load(made, 100, 1.0)
+    made.run(DEADLINE_S)
+    return made
+
+
+def load(cluster, count, seconds, **more):
+    """Let callers ask at even distances; return their requests."""
+    rng = Random(count)
+    asks = []
+    for _ in range(count):
+        body = {'service': 'find', 'query': 'text', **more}
+        asks.append(
+            cluster.ask(rng.choice(sorted(cluster.settings)), 'query', body)
+        )
+        cluster.run(seconds / count)
+    return asks
+
+
+def parts(cluster, role, kind):
+    return [
+        process.node.part(kind)
+        for process in cluster.processes.values()
+        if process.alive and process.node.state.uid.role == role
+    ]
+
+
+def held_by_entries(cluster):
+    held = []
+    for part in parts(cluster, 'entry', QueryService):
+        fleet = part.fleet
+        held += [len(part.running), len(part.attempts)]
+        held += [sight.own for sight in fleet.sights.values()]
+        held += [health.outstanding for health in fleet.leaves.values()]
+        for lane in part.lanes.values():
+            held += [lane.admission.limit.in_flight, len(lane.admission.queue)]
+    return sum(held)
+
+
+def held_by_leaves(cluster):
+    held = [len(target.running) for target in cluster.targets.values()]
+    for part in parts(cluster, 'leaf', TargetService):
+        held.append(len(part.dispatcher.works))
+        for account in part.fleet.accounts.values():
+            held.append(account.slots.running + len(account.queue))
+    return sum(held)
+
+
+def complete(asks):
+    return [
+        ask.status == 200 and ask.answer['outcome'] == 'complete'
+        for ask in asks
+    ]
+
+
+def test_many_callers_who_hang_up_at_once_leave_nothing_held(cluster):
+    asks = load(cluster, 300, 0.05)
+    cluster.run(0.005)
+    assert held_by_entries(cluster)
+    # The youngest first, so that none that waits is admitted for an instant:
+    # the network may let its cancellation overtake its pieces.
+    for ask in reversed(asks):
+        cluster.hang_up(ask)
+    assert not held_by_entries(cluster)
+    # The cancellations travel, and what the targets drop is answered.
+    cluster.run(0.02)
+    assert not held_by_leaves(cluster)
+    cluster.run(DEADLINE_S)
+    for part in parts(cluster, 'entry', QueryService):
+        lane = part.lanes['find']
+        budget = lane.hedging('default').budget
+        assert 0 <= budget.tokens <= budget.burst
+        assert 0 <= lane.retries.tokens <= lane.retries.burst
+    again = load(cluster, 50, 1.0)
+    cluster.run(DEADLINE_S)
+    assert all(complete(again))
+
+
+def test_restarted_entry_leaves_nothing_held(cluster):
+    asks = load(cluster, 100, 0.05)
+    (vm, *others) = sorted(cluster.settings)
+    cluster.kill(f'{vm}/entry')
+    cluster.start_process(cluster.settings[vm], 'entry')
+    cluster.run(2 * DEADLINE_S)
+    assert not held_by_entries(cluster)
+    assert not held_by_leaves(cluster)
+    assert all(
+        ask.status and ask.answered - ask.asked <= DEADLINE_S
+        for ask in asks
+        if ask.vm in others
+    )
+    again = load(cluster, 50, 1.0)
+    cluster.run(DEADLINE_S)
+    assert all(complete(again))
+
+
+def test_early_class_under_load_is_true_and_in_time(cluster):
+    names = sorted(cluster.config['services']['find']['shards'])
+    for name in names[:2]:
+        for target in cluster.targets.values():
+            if target.name.startswith(name):
+                target.factor = 60
+    asks = load(cluster, 200, 2.0, **{'class': 'early'})
+    cluster.run(DEADLINE_S)
+    answers = [ask.answer for ask in asks if ask.status == 200]
+    assert len(answers) > len(asks) / 2
+    for ask in asks:
+        assert ask.status
+        assert ask.answered - ask.asked <= DEADLINE_S
+    for answer in answers:
+        served = {row['shard'] for row in answer['rows']}
+        coverage = answer['coverage']
+        assert set(coverage['missing']) == set(names) - served
+        assert coverage['covered'] == len(served)
+        assert (answer['outcome'] == 'degraded') == (len(served) < 0.6 * 6)
+    partial = [each for each in answers if each['outcome'] == 'partial']
+    assert partial
--- a/rosemaryweir/query/tests/test_service.py
+++ b/rosemaryweir/query/tests/test_service.py
@@ -17,6 +17,7 @@
 from rosemaryweir.query import service as query_service
 from rosemaryweir.query.pin import LEARN_INTERVAL_S
 from rosemaryweir.query.service import QueryService
+from rosemaryweir.query.sighting import SHUT_S
 from rosemaryweir.schema.generated.config import ClassPolicy
 from rosemaryweir.testing.cluster import static_view
 from rosemaryweir.testing.deployment import (
@@ -238,6 +239,41 @@
     assert len(again) >= 3
 
 
+def test_targets_that_no_leaf_may_use_are_asked_now_and_then(bench):
+    bench.ask(1)
+    began = bench.now
+    asked = 0
+    while bench.now < began + 0.5:
+        for send in bench.take():
+            asked += len(send.message['pieces'])
+            bench.answer(send, outcome='not_owner')
+        bench.until(bench.now + 0.001)
+    assert bench.part.status(bench.now)['not_run'] == {'not_owner': asked}
+    assert 12 < asked <= 12 * 0.5 / SHUT_S
+    for send in bench.take():
+        bench.answer(send)
+    bench.until(bench.now + 0.1)
+    for send in bench.take():
+        bench.answer(send)
+    assert bench.replies[1].body['outcome'] == 'complete'
+
+
+def test_shard_that_could_not_be_asked_at_first_costs_no_retry(bench):
+    for sight in bench.part.fleet.sights.values():
+        sight.closes(bench.now)
+    lane = bench.part.lanes['find']
+    before = lane.retries.tokens
+    bench.ask(1)
+    assert not bench.take()
+    for _ in range(100):
+        bench.until(bench.now + 0.001)
+        for send in bench.take():
+            bench.answer(send)
+    assert bench.replies[1].body['outcome'] == 'complete'
+    assert bench.part.runner.extra == 0
+    assert lane.retries.tokens >= before
+
+
 def test_index_change_repins_once_and_never_mixes(bench):
     bench.ask(1)
     sends = bench.take()
