--- a/rosemaryweir/query/tests/test_service.py
+++ b/rosemaryweir/query/tests/test_service.py
@@ -19,13 +19,13 @@
 from rosemaryweir.query.service import QueryService
 from rosemaryweir.query.sighting import SHUT_S
 from rosemaryweir.schema.generated.config import ClassPolicy
-from rosemaryweir.testing.cluster import static_view
 from rosemaryweir.testing.deployment import (
     Deployment,
     ServiceSize,
     config_of,
     vm_settings,
 )
+from rosemaryweir.testing.process import static_view
 
 SIZE = Deployment(
     'small',
