--- /dev/null
+++ b/rosemaryweir/membership/evidence.py
@@ -0,0 +1,66 @@
+"""What an answer proves about views, adoption and the store."""
+
+from collections.abc import Mapping
+
+from rosemaryweir.config.vouching import members_of, vouch_ages
+from rosemaryweir.membership.control import Control
+from rosemaryweir.membership.telling import names_of
+from rosemaryweir.node.state import NodeState
+from rosemaryweir.schema.generated.control import Ack
+
+__all__ = ['lacking', 'take_evidence']
+
+
+def lacking(
+    state: NodeState,
+    versions: Mapping[str, int],
+) -> dict[str, int]:
+    """Return those view versions that are newer than the ones in use."""
+    own = state.views
+    return {
+        domain: version
+        for domain, version in versions.items()
+        if domain not in own or own[domain]['version'] < version
+    }
+
+
+def take_evidence(
+    control: Control,
+    ack: Ack,
+    sent: float,
+    now: float,
+) -> None:
+    """Take what an answer proves, unless its sender knows of newer things.
+
+    Parameters
+    ----------
+    control : Control
+        Where it is taken to.
+    ack : Ack
+        The answer.
+    sent : float
+        When the heartbeat that it answers was sent.
+    now : float
+        Present time.
+    """
+    state = control.state
+    vm = ack['known']['vm']
+    newer = ack['known']['generation'] > state.config['generation']
+    if newer or lacking(state, ack['known']['versions']):
+        return
+    control.fence.relay(ack['fresh'], sent)
+    control.fence.relay_quorums(ack['quorums'], sent)
+    if ack['vouches']:
+        control.fence.vouched(vm, sent)
+    # Left out when the succession of every view has taken place.
+    settled = ack.get('settled', ack['known']['versions'])
+    tuple(control.succession.told_settled(settled, now))
+    if ack['known']['versions'] != state.view_versions():
+        return
+    names = sorted(member['vm'] for member in state.members())
+    for domain, mask in ack.get('adopted', {}).items():
+        control.succession.told_adopted(domain, members_of(names, mask))
+    own = control.domain
+    if own in state.views:
+        ages = vouch_ages(names_of(state, own), ack.get('vouched', ()))
+        control.fence.relay_vouches(ages, sent)
--- a/rosemaryweir/membership/service.py
+++ b/rosemaryweir/membership/service.py
@@ -5,21 +5,13 @@
 from typing import Any
 
 from rosemaryweir.config.fence import HEAD
-from rosemaryweir.config.vouching import (
-    mask_of,
-    members_of,
-    vouch_ages,
-    vouch_masks,
-)
 from rosemaryweir.membership.control import control_of
 from rosemaryweir.membership.directory_choice import Heard
-from rosemaryweir.membership.prober import (
-    Prober,
-    Rotation,
-    suspicion_time,
-)
-from rosemaryweir.membership.ranks import children, parent, rank_of
+from rosemaryweir.membership.evidence import lacking, take_evidence
+from rosemaryweir.membership.peer_choice import PeerChoice
+from rosemaryweir.membership.prober import Prober, suspicion_time
 from rosemaryweir.membership.roster import address_of
+from rosemaryweir.membership.telling import Telling
 from rosemaryweir.membership.view_spread import Wanted
 from rosemaryweir.node.action import Action, LogEvent, SendPeer
 from rosemaryweir.node.catalogue import register_event
@@ -49,21 +41,9 @@
 #: Pause between two rounds, in seconds.
 ROUND_S = 0.25
 
-#: Fleet up to which every round probes one VM of any failure domain.
-SMALL_FLEET = 32
-
-#: Failure domain up to which all its VMs ask each other in turn.
-FLAT_DOMAIN = 8
-
-#: VMs that are asked to probe for another.
-HELPERS = 3
-
 #: Pause between two attempts to reach the seeds, in seconds.
 SEED_S = 1.0
 
-#: VMs that are told of a change at once.
-URGENT = 4
-
 #: Heartbeats whose view versions an answer may refer to.
 STATED_KEPT = 256
 
@@ -79,9 +59,6 @@
 #: Age of the evidence from the store that makes vouches worth relaying.
 OUTAGE_S = 1.0
 
-#: States that a VM refutes when it learns of them.
-ACCUSED = ('suspect', 'dead')
-
 
 @part_of('agent')
 class MembershipService(Part):
@@ -91,14 +68,14 @@
         super().__init__(state, rng)
         self.control = control_of(state)
         self._prober = Prober()
-        self._near = Rotation(rng)
-        self._all = Rotation(rng)
+        self._choice = PeerChoice(self.control, rng)
         self._due = 0.0
         self._rounds = 0
         self._seed_due = 0.0
         self._wanted = Wanted()
         self._stated: dict[int, dict[str, int]] = {}
-        self._introduced: dict[str, int] = {}
+        self._telling = Telling(self.control)
+        self._introduced = self._telling.introduced
         self._helping: dict[int, tuple[str, str, int]] = {}
 
     def next_wake(self) -> float | None:
@@ -121,7 +98,7 @@
             else:
                 yield from self._ask_helpers(missing.vm, now)
         yield from self._bury(now)
-        for member in self._chosen(now):
+        for member in self._choice.probed(self._rounds, self._outage(now)):
             yield self._probe(member, now)
         yield from self._seek(now)
         if self._rounds % FORGET_ROUNDS == 0:
@@ -139,7 +116,7 @@
         ack = Ack(
             kind='ack',
             sequence=message['sequence'],
-            known=self._told(message, now),
+            known=self._telling.answer(message, now),
             fresh=control.fence.fresh_ages(now),
             quorums=control.fence.quorum_ages(now),
             vouches=control.fence.vouches,
@@ -149,9 +126,9 @@
         if settled != versions:
             ack['settled'] = settled
         near = known['domain'] == control.domain
-        if near and control.fence.age(HEAD, now) > OUTAGE_S:
-            ack['vouched'] = self._vouch_masks(now)
-        adopted = self._adopted_masks()
+        if near and self._outage(now):
+            ack['vouched'] = self._telling.vouch_masks(now)
+        adopted = self._telling.adopted_masks()
         if adopted and known['versions'] == versions:
             ack['adopted'] = adopted
         if known['versions'] != versions:
@@ -177,7 +154,7 @@
         self._introduced[vm] = self.control.roster.itself['incarnation']
         if helped is not None:
             yield self._help_done(helped, vm, now)
-        self._take_evidence(ack, sent, now)
+        take_evidence(self.control, ack, sent, now)
 
     @handles(PeerMessage, 'ping_req')
     def help_probe(self, event: PeerMessage, now: float) -> Iterator[Action]:
@@ -225,31 +202,6 @@
             'settled': control.succession.settled(now),
         }
 
-    def _chosen(self, now: float) -> Iterator[Member]:
-        roster = self.control.roster
-        peers = roster.peers()
-        ranked = self.control.ranked()
-        outage = self.control.fence.age(HEAD, now) > OUTAGE_S
-        often = len(peers) <= SMALL_FLEET
-        names = []
-        if often or self._rounds % 2:
-            names.append(self._all.next(peers))
-        if often or outage or not self._rounds % 2:
-            names.append(self._nearby(ranked, outage))
-        return (
-            peers[name] for name in names if name is not None and name in peers
-        )
-
-    def _nearby(self, ranked: list[Member], outage: bool) -> str | None:
-        vm = self.state.uid.vm
-        if len(ranked) > FLAT_DOMAIN and not outage:
-            elder = parent(rank_of(vm, ranked), ranked, self.rng)
-            if elder is not None:
-                return elder['vm']
-        return self._near.next(
-            [member['vm'] for member in ranked if member['vm'] != vm],
-        )
-
     def _probe(
         self,
         member: Member,
@@ -260,51 +212,12 @@
         heartbeat = Heartbeat(
             kind='heartbeat',
             sequence=sequence,
-            known=self._known(now, member['vm']),
+            known=self._telling.known(now, member['vm']),
         )
         self._stated[sequence] = heartbeat['known']['versions']
         self._stated.pop(sequence - STATED_KEPT, None)
         return self._send(member, heartbeat, now)
 
-    def _known(self, now: float, receiver: str = '') -> Known:
-        itself = self.control.roster.itself
-        return {
-            **self._about(now, receiver),
-            'domain': itself['domain'],
-            'agent_peer': itself['agent_peer'],
-            'versions': dict(self.state.view_versions()),
-        }
-
-    def _told(self, message: Heartbeat, now: float) -> Known:
-        # A heartbeat without a number comes from a VM that may know nobody.
-        vm = message['known']['vm']
-        if message['sequence']:
-            return self._about(now, vm)
-        return self._known(now, vm)
-
-    def _about(self, now: float, receiver: str) -> Known:
-        """Return what an answer tells to a peer that has probed this VM."""
-        control = self.control
-        deltas = control.roster.deltas()
-        about = control.roster.member(receiver)
-        if about is not None and about['state'] in ACCUSED:
-            deltas.append(about)
-        itself = control.roster.itself
-        known = Known(
-            vm=itself['vm'],
-            pulse=_own_pulse(control.pulse),
-            generation=self.state.config['generation'],
-        )
-        intents = control.intents.relayed(now)
-        if deltas:
-            known['deltas'] = deltas
-        if intents:
-            known['intents'] = intents
-        introduced = self._introduced.get(receiver) == itself['incarnation']
-        if not (introduced or control.known_by_view()):
-            known['member'] = itself
-        return known
-
     def _learn(self, known: Known, now: float) -> Iterator[Action]:
         control = self.control
         vm = known['vm']
@@ -320,64 +233,13 @@
         control.told = max(control.told, known['generation'])
         control.succession.heard(vm, known['versions'])
         tuple(control.succession.settle(now))
-        lacking = self._lacking(known['versions'])
+        newer = lacking(self.state, known['versions'])
         address = address_of(known, control.roster)
-        if address and lacking and self._wanted.ask(lacking, now):
+        if address and newer and self._wanted.ask(newer, now):
             yield self._fetch(vm, address, now)
 
-    def _take_evidence(
-        self,
-        ack: Ack,
-        sent: float,
-        now: float,
-    ) -> None:
-        control = self.control
-        vm = ack['known']['vm']
-        newer = ack['known']['generation'] > self.state.config['generation']
-        if newer or self._lacking(ack['known']['versions']):
-            return
-        control.fence.relay(ack['fresh'], sent)
-        control.fence.relay_quorums(ack['quorums'], sent)
-        if ack['vouches']:
-            control.fence.vouched(vm, sent)
-        # Left out when the succession of every view has taken place.
-        settled = ack.get('settled', ack['known']['versions'])
-        tuple(control.succession.told_settled(settled, now))
-        if ack['known']['versions'] != self.state.view_versions():
-            return
-        names = sorted(member['vm'] for member in self.state.members())
-        for domain, mask in ack.get('adopted', {}).items():
-            control.succession.told_adopted(domain, members_of(names, mask))
-        own = control.domain
-        if own in self.state.views:
-            ages = vouch_ages(self._names(own), ack.get('vouched', ()))
-            control.fence.relay_vouches(ages, sent)
-
-    def _vouch_masks(self, now: float) -> list[str]:
-        own = self.control.domain
-        if own not in self.state.views:
-            return []
-        times = self.control.fence.vouch_times(self.state.uid.vm, now)
-        return vouch_masks(self._names(own), times, now)
-
-    def _adopted_masks(self) -> dict[str, str]:
-        adopters = self.control.succession.adopters()
-        if not adopters:
-            return {}
-        names = sorted(member['vm'] for member in self.state.members())
-        return {domain: mask_of(names, vms) for domain, vms in adopters.items()}
-
-    def _names(self, domain: str) -> list[str]:
-        members = self.state.views[domain]['members']
-        return sorted(member['vm'] for member in members)
-
-    def _lacking(self, versions: Mapping[str, int]) -> dict[str, int]:
-        own = self.state.views
-        return {
-            domain: version
-            for domain, version in versions.items()
-            if domain not in own or own[domain]['version'] < version
-        }
+    def _outage(self, now: float) -> bool:
+        return self.control.fence.age(HEAD, now) > OUTAGE_S
 
     def _fetch(self, vm: str, address: str, now: float) -> SendPeer:
         fetch = Fetch(
@@ -402,7 +264,7 @@
         member = self.control.roster.member(vm)
         if member is None:
             return
-        for helper in self._helpers(member):
+        for helper in self._choice.helpers(member):
             request = PingReq(
                 kind='ping_req',
                 sequence=0,
@@ -411,18 +273,6 @@
             )
             yield self._send(helper, request, now)
 
-    def _helpers(self, member: Member) -> list[Member]:
-        peers = [
-            peer
-            for peer in self.control.roster.peers().values()
-            if peer['vm'] != member['vm'] and peer['state'] == 'alive'
-        ]
-        # A third failure domain gets round a cut between two.
-        ends = {member['domain'], self.control.domain}
-        third = [peer for peer in peers if peer['domain'] not in ends]
-        drawn = self.rng.sample(third, min(HELPERS, len(third)))
-        return drawn or self.rng.sample(peers, min(HELPERS, len(peers)))
-
     def _help_done(
         self,
         asker: tuple[str, str, int],
@@ -461,7 +311,7 @@
                 heartbeat = Heartbeat(
                     kind='heartbeat',
                     sequence=0,
-                    known=self._known(now),
+                    known=self._telling.known(now),
                 )
                 yield SendPeer(
                     f'{seed["vm"]}/agent',
@@ -474,19 +324,9 @@
         if not self.control.urgent:
             return
         self.control.urgent = False
-        for member in self._urgent():
+        for member in self._choice.told_at_once():
             yield self._probe(member, now)
 
-    def _urgent(self) -> list[Member]:
-        ranked = self.control.ranked()
-        rank = rank_of(self.state.uid.vm, ranked)
-        peers = list(self.control.roster.peers().values())
-        drawn = self.rng.sample(peers, min(URGENT, len(peers)))
-        unique = {
-            member['vm']: member for member in [*children(rank, ranked), *drawn]
-        }
-        return list(unique.values())
-
     def _send(
         self,
         member: Member,
@@ -496,15 +336,6 @@
         return _to_peer(member['vm'], member['agent_peer'], message, now)
 
 
-def _own_pulse(pulse: Pulse) -> Pulse:
-    return Pulse(
-        load=pulse['load'],
-        serving=pulse['serving'],
-        leaving=pulse['leaving'],
-        generation=pulse['generation'],
-    )
-
-
 def _to_peer(
     vm: str,
     address: str,
