--- a/rosemaryweir/config/relay.py
+++ b/rosemaryweir/config/relay.py
@@ -8,6 +8,7 @@
 from rosemaryweir.config.kept import DELTA_REFUSED
 from rosemaryweir.config.loader import Loader
 from rosemaryweir.membership.control import control_of
+from rosemaryweir.membership.roster import address_of
 from rosemaryweir.node.action import Action, LogEvent, SendPeer
 from rosemaryweir.node.event import PeerMessage
 from rosemaryweir.node.part import Part, handles, part_of
@@ -44,16 +45,12 @@
         """Fetch a configuration that a peer has and this VM lacks."""
         known: Known = event.message['known']
         newer = known['generation'] > self.state.config['generation']
-        if newer and now >= self._refetch:
+        address = address_of(known, self.control.roster)
+        if newer and address and now >= self._refetch:
             self._refetch = now + REFETCH_S
             fetch = self._fetch(0)
             fetch['deltas'] = True
-            yield SendPeer(
-                event.sender,
-                known['agent_peer'],
-                fetch,
-                now + SEND_S,
-            )
+            yield SendPeer(event.sender, address, fetch, now + SEND_S)
 
     @handles(PeerMessage, 'fetch')
     def pass_on(self, event: PeerMessage, now: float) -> Iterator[Action]:
