--- a/benchmarks/faults/page.py
+++ b/benchmarks/faults/page.py
@@ -22,7 +22,7 @@
 all their processes in virtual time under queries and orders, strikes when the
 step is seen, and checks P1 to P10 by what targets, store, messages and
 callers saw. A number counts violations; `-` means that the step was not
-seen, so that nothing struck.
+seen, so that nothing struck; `none` is the step without a fault.
 """
 
 
