Warm targets of a fresh leaf vouch for each other

Change: four targets of a service that have served enough are a reference by their lower median, proven or not: few turn cold at once without warning.

--- a/rosemaryweir/targets/peers.py
+++ b/rosemaryweir/targets/peers.py
@@ -4,6 +4,9 @@
 
 __all__ = ['Peers']
 
+#: So many targets that agree need no proof: each has served enough, and few
+#: turn cold at once without warning.
+QUORUM = 4
 #: So many latencies are learnt between two looks at all histories.
 REFRESH_EVERY = 16
 
@@ -33,7 +36,7 @@
 
     @property
     def mean(self) -> float:
-        """The lower median of the means that are known; 0 without any."""
+        """The lower median of the warm means; 0 if none can be relied on."""
         if not self._mean or self._learnt >= REFRESH_EVERY:
             self._mean = self._median()
             self._learnt = 0
@@ -55,5 +58,8 @@
         self._learnt += 1
 
     def _median(self) -> float:
-        means = sorted(each.mean for each in self._histories if each.known)
+        known = [each for each in self._histories if each.known]
+        learnt = [each for each in self._histories if each.enough]
+        sample = learnt if len(learnt) >= QUORUM else known
+        means = sorted(each.mean for each in sample)
         return means[(len(means) - 1) // 2] if means else 0.0
--- a/rosemaryweir/targets/tests/test_warmth.py
+++ b/rosemaryweir/targets/tests/test_warmth.py
@@ -222,3 +222,27 @@
     warmth.served(3.1 * warmth.history.mean)
     warmth.dropped(WARM / 10)
     assert warmth.suspected
+
+
+def _served_in_turn(rng, factors, rounds):
+    """Return the warmths of targets of one service, cold as factors say."""
+    peers = Peers()
+    warmths = [Warmth(LIMITS, peers) for _ in factors]
+    for _ in range(rounds):
+        for warmth, factor in zip(warmths, factors, strict=True):
+            warmth.served(_latency(rng, factor))
+    return warmths
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_warm_targets_of_a_fresh_leaf_vouch_for_each_other(seed):
+    warmths = _served_in_turn(Random(seed), [1.0] * 8, 2 * LIMITS.warm_after)
+    known = sum(warmth.history.known for warmth in warmths)
+    assert known > len(warmths) / 2
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_cold_target_among_warm_ones_is_not_vouched_for(seed):
+    factors = [COLD_FACTOR] + [1.0] * 7
+    cold, *_ = _served_in_turn(Random(seed), factors, 2 * LIMITS.warm_after)
+    assert cold.allowed == LIMITS.cold_slots
