--- a/rosemaryweir/query/runner.py
+++ b/rosemaryweir/query/runner.py
@@ -279,7 +279,7 @@
         query.hedge_at = next_look(query, now)
         if not query.version and len(query.unheard) < len(query.plan.shards):
             self._settle(query, now)
-        if query.lane.admission.pressed or not self.state.may_start(now):
+        if not self.state.may_start(now):
             return
         for wanted in late_pieces(query, now):
             self._hedge_one(query, wanted, now)
@@ -291,6 +291,8 @@
             wanted.on_trial or quicker(replica, wanted, query.key, now)
         ):
             return
+        if query.lane.admission.pressed and not replica.sight.has_room:
+            return
         if query.hedging.budget.spend():
             self.extra += 1
             self._send(query, wanted, replica, now)
--- a/rosemaryweir/query/tests/test_service.py
+++ b/rosemaryweir/query/tests/test_service.py
@@ -274,6 +274,23 @@
     assert lane.retries.tokens >= before
 
 
+@pytest.mark.parametrize('full', [False, True])
+def test_while_requests_wait_only_free_slots_are_hedged_to(bench, full):
+    lane = bench.part.lanes['find']
+    lane.admission.limit.most = 1
+    bench.ask(1)
+    bench.ask(2)
+    assert lane.admission.pressed
+    first, *rest = bench.take()
+    for send in rest:
+        bench.answer(send)
+    for sight in bench.part.fleet.sights.values():
+        sight.reported = sight.limit * full
+        sight.reported_at = bench.now
+    bench.until(bench.now + 0.07)
+    assert bool(bench.take()) != full
+
+
 def test_index_change_repins_once_and_never_mixes(bench):
     bench.ask(1)
     sends = bench.take()
