--- a/rosemaryweir/membership/grants.py
+++ b/rosemaryweir/membership/grants.py
@@ -41,7 +41,7 @@
     Notes
     -----
     Views and takeover times are sent again with each grant until a hello
-    states them.  Until then the lease of a process is not renewed: what it
+    states them.  Until then the lease of a leaf is not renewed: what it
     has rests on evidence from before this agent adopted the newer view, and
     ends before anybody may take over by that view.
     """
@@ -94,7 +94,8 @@
         if event.sender.partition('/')[0] != self.state.uid.vm:
             return
         former = self._locals.get(hello['role'])
-        behind = self._is_behind(hello)
+        # An entry owns nothing: an older view only makes it ask in vain.
+        behind = hello['role'] == 'leaf' and self._is_behind(hello)
         granted = 0.0 if former is None else former.granted
         if not behind:
             granted = min(now + GRANT_S, self.control.permission(now).until)
