Delete stored content that nothing can need any more

Cause: each note stores its whole content and a delta, and nothing deleted either; a loser of a race or a writer that died left its own behind as well.

Change: an attempt writes a small record (config/attempt/<generation>-<name>) before its objects and once more after them, with their versions. 300 s after a note was accepted, the agent that wrote it lists these records and deletes what the four oldest attempts stored that are 32 or more generations behind. An attempt of a generation can only succeed while the head is at the one before, so that one rule covers old content and orphans. A reader that finds content missing reads the head again, also when it doesn't watch.

--- a/rosemaryweir/compose.py
+++ b/rosemaryweir/compose.py
@@ -38,6 +38,7 @@
     'rosemaryweir.membership.view_spread',
     'rosemaryweir.config.note_service',
     'rosemaryweir.config.relay',
+    'rosemaryweir.config.retention_service',
     'rosemaryweir.config.service',
     'rosemaryweir.query.service',
     'rosemaryweir.orders.service',
--- a/rosemaryweir/config/__init__.py
+++ b/rosemaryweir/config/__init__.py
@@ -10,4 +10,6 @@
 from rosemaryweir.config.note import *
 from rosemaryweir.config.note_schema import *
 from rosemaryweir.config.references import *
+from rosemaryweir.config.retention import *
+from rosemaryweir.config.upload import *
 from rosemaryweir.config.vouching import *
--- a/rosemaryweir/config/head.py
+++ b/rosemaryweir/config/head.py
@@ -13,13 +13,8 @@
 import msgspec
 from returns.result import Failure
 
-from rosemaryweir.config.chain import delta_key, small_delta
-from rosemaryweir.config.content import (
-    chunk_key,
-    digest_of,
-    encode_config,
-    split_chunks,
-)
+from rosemaryweir.config.chain import small_delta
+from rosemaryweir.config.content import encode_config
 from rosemaryweir.config.delta import Held, held_of
 from rosemaryweir.config.loader import Loaded
 from rosemaryweir.config.note import (
@@ -29,6 +24,7 @@
     touched_paths,
     withdrawn_domains,
 )
+from rosemaryweir.config.upload import Upload
 from rosemaryweir.exception import Finding
 from rosemaryweir.node.action import Action, StoreGet, StorePut
 from rosemaryweir.node.event import StoreFailed, StoreObject, StoreReply
@@ -115,22 +111,26 @@
         Failure domains that get no new work after it.
     """
 
-    def __init__(self, note: Mapping[str, Any], topic: str, now: float) -> None:
+    def __init__(
+        self,
+        note: Mapping[str, Any],
+        topic: str,
+        name: str,
+        now: float,
+    ) -> None:
         self.note: Any = note
         self.step = 'reading'
         self.outcome: Outcome | None = None
         self.made: Loaded | None = None
         self.withdrawn: list[str] = []
         self._topic = topic
+        self._name = name
         self._number = 0
         self._since = now
         self._retry: float | None = None
         self._call = ''
         self._written = Written(0, empty_head())
-        self._chunks: list[str] = []
-        self._objects: list[tuple[str, bytes]] = []
-        self._digest = ''
-        self._put = 0
+        self._upload: Upload | None = None
         self._unsure = False
         self._plan: tuple[str, ...] = ()
 
@@ -173,7 +173,7 @@
             self._take_head(event)
             self.resume(config)
         elif self.step == 'content':
-            self._put += 1
+            self._uploading.take_reply(event)
             yield from self._put_content()
         elif self.step == 'writing':
             self._take_outcome(event)
@@ -228,30 +228,28 @@
         self._plan = tuple(plan(self.note, config))
         made = held_of(apply(self.note, config))
         self.withdrawn = withdrawn_domains(self.note)
-        self._prepare_content(made.config)
-        self._prepare_delta(config, made)
+        self._prepare(config, made)
         self.step = 'announcing'
 
-    def _prepare_content(self, config: Config) -> None:
-        content = encode_config(config)
-        self._digest = digest_of(content)
-        chunks = split_chunks(content)
-        self._chunks = [
-            chunk_key(self._digest, index) for index in range(len(chunks))
-        ]
-        self._objects = list(zip(self._chunks, chunks, strict=True))
-
-    def _prepare_delta(self, before: Config, made: Held) -> None:
+    def _prepare(self, before: Config, made: Held) -> None:
         delta = small_delta(before, made)
         self.made = Loaded(made, () if delta is None else (delta,))
-        if delta is not None:
-            key = delta_key(delta['digest'])
-            self._objects.append((key, msgspec.json.encode(delta)))
+        self._upload = Upload(
+            self.expected_generation,
+            self._name,
+            encode_config(made.config),
+            delta,
+        )
+
+    @property
+    def _uploading(self) -> Upload:
+        assert self._upload is not None
+        return self._upload
 
     def _put_content(self) -> Iterator[Action]:
-        if self._put < len(self._objects):
-            key, content = self._objects[self._put]
-            yield StorePut(self._new_call(), key, 0, content)
+        put = self._uploading.next_put(self._new_call())
+        if put is not None:
+            yield put
             return
         self.step = 'writing'
         yield self._put_head()
@@ -269,8 +267,8 @@
         new = Head(
             generation=generation,
             note=self.note['note'],
-            digest=self._digest,
-            chunks=self._chunks,
+            digest=self._uploading.attempt['digest'],
+            chunks=self._uploading.chunks,
             recent=[applied, *head.get('recent', ())][:RECENT_KEPT],
         )
         return StorePut(
@@ -299,7 +297,7 @@
         if known['generation'] != self.expected_generation:
             return False
         newest = head['generation'] == known['generation']
-        return not newest or head['digest'] == self._digest
+        return not newest or head['digest'] == self._uploading.attempt['digest']
 
     def _accept(self) -> None:
         outcome = Outcome(
--- a/rosemaryweir/config/note_service.py
+++ b/rosemaryweir/config/note_service.py
@@ -216,7 +216,9 @@
         self._answered = False
         self._intent = ''
         topic = f'{TOPIC}:{self._number}'
-        self._writer = NoteWriter(self._current.note, topic, now)
+        uid = self.state.uid
+        name = f'{uid.vm}-{uid.incarnation}-{self._number}'
+        self._writer = NoteWriter(self._current.note, topic, name, now)
         self._announced = now
         yield from self._writer.begin()
 
@@ -287,6 +289,7 @@
             yield answer(current.req, writer, outcome)
         if outcome.state == 'accepted' and writer.made is not None:
             self.control.arrived.append(writer.made)
+            self.control.accepted.append(outcome.generation)
         if self._intent:
             accepted = outcome.state == 'accepted'
             self.control.intents.settle(self._intent)
--- /dev/null
+++ b/rosemaryweir/config/retention.py
@@ -0,0 +1,164 @@
+"""Delete stored content that nothing can come to need.
+
+An attempt to make a generation can succeed only while the head is at the
+generation before.  Once the head is further, each attempt of that generation
+is settled: what it stored is in force, was in force, or never will be.  So one
+rule covers old content and what losers and dead writers left: everything of
+generations that are a number of generations and a time behind the head.
+"""
+
+import itertools
+from collections import deque
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
+
+import msgspec
+
+from rosemaryweir.config.head import RECENT_KEPT
+from rosemaryweir.config.upload import (
+    ATTEMPT_PREFIX,
+    attempt_key,
+    attempt_objects,
+)
+from rosemaryweir.node.action import Action, StoreDelete, StoreList
+from rosemaryweir.node.event import StoreFailed, StoreObject, StoreReply
+from rosemaryweir.schema.generated.control import Attempt
+
+__all__ = ['CLEANED', 'GENERATIONS_KEPT', 'KEEP_S', 'Cleaner']
+
+#: Generations that are kept, with the deltas that the head names.
+GENERATIONS_KEPT = RECENT_KEPT
+
+#: Time for which content is kept once it is so far behind, in seconds.
+KEEP_S = 300.0
+
+#: Attempts that are deleted for one accepted note.
+CLEANED = 4
+
+#: Pause after a call that failed, in seconds.
+RETRY_S = 10.0
+
+
+class Round(NamedTuple):
+    """A clean-up: when, and up to which generation."""
+
+    due: float
+    generation: int
+
+
+class Doomed(NamedTuple):
+    """An object to be deleted, and its version as far as known."""
+
+    key: str
+    version: int
+
+
+class Cleaner:
+    """Clean up after each note that was accepted here, one call at a time.
+
+    Parameters
+    ----------
+    topic : str
+        Topic that replies come back by.
+    kept : int
+        Generations that are kept.
+    keep_s : float
+        Time for which content is kept once it is so far behind, in seconds.
+    """
+
+    def __init__(
+        self,
+        topic: str,
+        kept: int = GENERATIONS_KEPT,
+        keep_s: float = KEEP_S,
+    ) -> None:
+        self._topic = topic
+        self._kept = kept
+        self._keep_s = keep_s
+        self._number = 0
+        self._rounds: deque[Round] = deque()
+        self._call = ''
+        self._doomed: deque[Doomed] = deque()
+
+    def accepted(self, generation: int, now: float) -> None:
+        """Take it that the head has reached a generation."""
+        behind = generation - self._kept
+        if behind > 0:
+            self._rounds.append(Round(now + self._keep_s, behind))
+
+    def next_wake(self) -> float | None:
+        """Return the time of the next clean-up."""
+        waits = bool(self._call) or not self._rounds
+        return None if waits else self._rounds[0].due
+
+    def wake(self, now: float) -> Iterator[Action]:
+        """Begin a clean-up that is due: list what attempts stored."""
+        due = self.next_wake()
+        if due is not None and now >= due:
+            yield StoreList(self._new_call(), ATTEMPT_PREFIX)
+
+    def take_reply(self, event: StoreReply) -> Iterator[Action]:
+        """Go on with the clean-up."""
+        if event.call != self._call:
+            return
+        if self._doomed:
+            self._take_deleted(event)
+        else:
+            bound = self._rounds[0].generation
+            self._doomed.extend(_doomed(event.objects, bound))
+        if self._doomed:
+            key, version = self._doomed[0]
+            yield StoreDelete(self._new_call(), key, version)
+        else:
+            self._call = ''
+            self._rounds.popleft()
+
+    def take_failure(self, event: StoreFailed, now: float) -> None:
+        """Begin the clean-up again later: what is gone isn't listed."""
+        if event.call == self._call:
+            self._call = ''
+            self._doomed.clear()
+            self._rounds[0] = self._rounds[0]._replace(due=now + RETRY_S)
+
+    def _take_deleted(self, event: StoreReply) -> None:
+        """Go on, or delete again with the version that is found."""
+        key, _ = self._doomed.popleft()
+        found = event.objects[0].version if event.objects else 0
+        if event.status == 'conflict' and found:
+            self._doomed.appendleft(Doomed(key, found))
+
+    def _new_call(self) -> str:
+        self._number += 1
+        self._call = f'{self._topic}:{self._number}'
+        return self._call
+
+
+def _doomed(records: Iterable[StoreObject], bound: int) -> Iterator[Doomed]:
+    """Yield what the oldest attempts stored, each record last."""
+    old = [
+        (attempt, record.version)
+        for attempt, record in _attempts(records)
+        if attempt['generation'] <= bound
+    ]
+    old.sort(key=_generation)
+    for attempt, version in old[:CLEANED]:
+        keys = attempt_objects(attempt)
+        versions = attempt['versions'] or itertools.repeat(0)
+        yield from map(Doomed, keys, versions)
+        yield Doomed(attempt_key(attempt), version)
+
+
+def _attempts(
+    records: Iterable[StoreObject],
+) -> Iterator[tuple[Attempt, StoreObject]]:
+    for record in records:
+        try:
+            attempt = msgspec.json.decode(record.content, type=Attempt)
+        except msgspec.MsgspecError:
+            continue
+        if record.key == attempt_key(attempt):
+            yield attempt, record
+
+
+def _generation(old: tuple[Attempt, int]) -> int:
+    return old[0]['generation']
--- /dev/null
+++ b/rosemaryweir/config/retention_service.py
@@ -0,0 +1,46 @@
+"""Clean-up of stored content at the agents that write notes."""
+
+from collections.abc import Iterable, Iterator
+from random import Random
+
+from rosemaryweir.config.retention import Cleaner
+from rosemaryweir.membership.control import control_of
+from rosemaryweir.node.action import Action
+from rosemaryweir.node.event import StoreFailed, StoreReply
+from rosemaryweir.node.part import Part, handles, part_of
+from rosemaryweir.node.state import NodeState
+
+__all__ = ['RetentionService']
+
+TOPIC = 'retention'
+
+
+@part_of('agent')
+class RetentionService(Part):
+    """Delete what notes accepted here have put out of date."""
+
+    def __init__(self, state: NodeState, rng: Random) -> None:
+        super().__init__(state, rng)
+        self.control = control_of(state)
+        self._cleaner = Cleaner(TOPIC)
+
+    def next_wake(self) -> float | None:
+        """Return the time of the next clean-up."""
+        return 0.0 if self.control.accepted else self._cleaner.next_wake()
+
+    def wake(self, now: float) -> Iterator[Action]:
+        """Take what was accepted; clean up what is due."""
+        while self.control.accepted:
+            self._cleaner.accepted(self.control.accepted.pop(0), now)
+        yield from self._cleaner.wake(now)
+
+    @handles(StoreReply, TOPIC)
+    def take_reply(self, event: StoreReply, now: float) -> Iterator[Action]:
+        """Go on with a clean-up."""
+        yield from self._cleaner.take_reply(event)
+
+    @handles(StoreFailed, TOPIC)
+    def take_failure(self, event: StoreFailed, now: float) -> Iterable[Action]:
+        """Clean up later."""
+        self._cleaner.take_failure(event, now)
+        return ()
--- a/rosemaryweir/config/service.py
+++ b/rosemaryweir/config/service.py
@@ -61,6 +61,9 @@
 #: Pause between two reads of the head by a VM that watches, in seconds.
 POLL_S = 0.5
 
+#: Pause before the head is read again when its content is gone, in seconds.
+REREAD_S = 0.2
+
 #: Age of the evidence from peers beyond which a VM reads for itself.
 STALE_S = 1.5
 
@@ -89,6 +92,7 @@
         self._links = ChainFetch()
         self._head: Head | None = None
         self._unlinked = 0
+        self._missed = False
         self._due = 0.0
         self._watch = ''
         self._roles: dict[str, Hello] = {}
@@ -111,6 +115,7 @@
         if call is None:
             return
         if call.subject == HEAD_KEY:
+            self._missed = False
             yield from self._take_heads(event.objects, now)
             self.control.fence.store_contact(HEAD, call.sent)
             unwritten = self.control.intents.settle_unwritten(
@@ -188,11 +193,12 @@
     def _read_head(self, now: float) -> Iterator[Action]:
         watches = self.control.watches()
         size = len(self.control.roster.peers()) + 1
-        pause = POLL_S if watches else max(POLL_S, size / FALLBACK_RATE)
+        often = watches or self._missed
+        pause = POLL_S if often else max(POLL_S, size / FALLBACK_RATE)
         self._due = now + pause
         stale = self.control.fence.age(HEAD, now) > STALE_S
         unsettled = bool(self.control.intents.suspended(now))
-        if (watches or stale or unsettled) and len(self._calls) < OUTSTANDING:
+        if (often or stale or unsettled) and len(self._calls) < OUTSTANDING:
             yield StoreGet(self._calls.start(HEAD_KEY, now), HEAD_KEY)
         yield from self._keep_watch(watches)
 
@@ -272,7 +278,7 @@
         now: float,
     ) -> Iterator[Action]:
         if not event.objects:
-            self._stored.drop()
+            self._reread(now)
             return
         found = event.objects[0]
         _, digest, index = found.key.rsplit('/', 2)
@@ -280,6 +286,12 @@
         if loaded is not None:
             yield from self.put_in_force(loaded, now)
 
+    def _reread(self, now: float) -> None:
+        """Read the head soon: the one known here names what is gone."""
+        self._stored.drop()
+        self._missed = True
+        self._due = min(self._due, now + REREAD_S)
+
     def _configured(self, hello: Hello, now: float) -> SendPeer:
         addresses = self.state.settings['addresses']
         role = hello['role']
--- a/rosemaryweir/config/tests/test_head.py
+++ b/rosemaryweir/config/tests/test_head.py
@@ -7,9 +7,11 @@
 from hypothesis import settings
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from rosemaryweir.config.chain import delta_key
 from rosemaryweir.config.content import decode_config, join_chunks
 from rosemaryweir.config.head import HEAD_KEY, NoteWriter, decode_head
-from rosemaryweir.node.action import StoreGet
+from rosemaryweir.config.retention import Cleaner
+from rosemaryweir.node.action import StoreDelete, StoreGet, StoreList
 from rosemaryweir.node.event import StoreFailed, StoreObject, StoreReply
 from rosemaryweir.node.state import empty_config
 
@@ -29,6 +31,12 @@
         self.late = []
 
     def run(self, action):
+        if isinstance(action, StoreList):
+            keys = [
+                key for key in self.objects if key.startswith(action.prefix)
+            ]
+            listed = tuple(self.objects[key] for key in sorted(keys))
+            return StoreReply(action.call, 'ok', listed)
         found = self.objects.get(action.key, ABSENT)
         if isinstance(action, StoreGet):
             objects = (found,) if found.version else ()
@@ -36,6 +44,9 @@
             return StoreReply(action.call, status, objects)
         if found.version != action.expected:
             return StoreReply(action.call, 'conflict', (found,))
+        if isinstance(action, StoreDelete):
+            self.objects.pop(action.key, None)
+            return StoreReply(action.call, 'ok')
         new = StoreObject(action.key, next(self.versions), action.content)
         self.objects[action.key] = new
         if action.key == HEAD_KEY:
@@ -60,6 +71,8 @@
         self.numbers = itertools.count()
         self.writers = []
         self.calls = {}
+        self.cleaners = [Cleaner(f'clean-{n}', 1, 0.0) for n in range(2)]
+        self.cleaning = {}
 
     @rule(again=st.booleans(), current=st.booleans())
     def submit(self, again, current):
@@ -75,7 +88,8 @@
                 'base': generation if current else max(0, generation - 1),
                 'added': {'tenants': {f't-{number}': {'weight': 1}}},
             }
-        writer = NoteWriter(note, f'note:{len(self.writers)}', self.now)
+        name = f'a-{len(self.writers)}'
+        writer = NoteWriter(note, f'note:{name}', name, self.now)
         self.writers.append(writer)
         self.take(writer, writer.begin())
 
@@ -99,6 +113,35 @@
         reason = 'unavailable' if fate == 'refused' else 'unknown'
         assert writer.take_failure(StoreFailed(action.call, reason), self.now)
 
+    @rule(number=st.integers(0, 1))
+    def begin_cleaning(self, number):
+        """One of two agents begins to delete all but the newest generation."""
+        cleaner = self.cleaners[number]
+        if cleaner.next_wake() is None and cleaner not in self.cleaning:
+            cleaner.accepted(len(self.store.heads), self.now)
+        self.clean(cleaner, cleaner.wake(self.now))
+
+    @rule(number=st.integers(0, 1), steps=st.integers(1, 8), fate=FATES)
+    def go_on_cleaning(self, number, steps, fate):
+        """Calls of a clean-up end, the last of them well or badly."""
+        cleaner = self.cleaners[number]
+        for _ in range(steps):
+            if cleaner in self.cleaning:
+                reply = self.store.run(self.cleaning.pop(cleaner))
+                self.clean(cleaner, cleaner.take_reply(reply))
+        action = self.cleaning.get(cleaner)
+        if action is not None and fate != 'answered':
+            del self.cleaning[cleaner]
+            if fate == 'reply lost':
+                self.store.run(action)
+            failed = StoreFailed(action.call, 'unknown')
+            cleaner.take_failure(failed, self.now - 10)
+
+    def clean(self, cleaner, actions):
+        for action in actions:
+            assert cleaner not in self.cleaning
+            self.cleaning[cleaner] = action
+
     @rule()
     def land_late_write(self):
         """A write that seemed lost takes effect long after."""
@@ -148,6 +191,12 @@
                 ]
                 assert name not in made or others
 
+    @invariant()
+    def change_to_the_newest_is_kept(self):
+        if self.store.heads:
+            newest = self.store.heads[-1]['recent'][0]
+            assert delta_key(newest['digest']) in self.store.objects
+
     @invariant()
     def accepted_notes_are_in_force(self):
         accepted = {head['note'] for head in self.store.heads}
@@ -171,10 +220,10 @@
         run_through(writer, store, more)
 
 
-def submit(store, name, base):
+def submit(store, name, base, attempt='a'):
     note = {'note': name, 'format': 1, 'base': base}
     note['added'] = {'tenants': {f't-{name[2:]}': {'weight': 1}}}
-    writer = NoteWriter(note, 'note:1', 0.0)
+    writer = NoteWriter(note, 'note:1', attempt, 0.0)
     run_through(writer, store, writer.begin())
     if writer.step == 'announcing':
         run_through(writer, store, writer.write())
@@ -202,7 +251,7 @@
     note['added'] = {
         'tenants': {f't-{number}': {'weight': 1} for number in range(60_000)},
     }
-    writer = NoteWriter(note, 'note:1', 0.0)
+    writer = NoteWriter(note, 'note:1', 'a', 0.0)
     run_through(writer, store, writer.begin())
     run_through(writer, store, writer.write())
     assert writer.outcome.state == 'accepted'
--- a/rosemaryweir/membership/control.py
+++ b/rosemaryweir/membership/control.py
@@ -54,6 +54,8 @@
         The configuration in force, ready to be passed on.
     arrived : list of Loaded
         Configurations to be put in force, of peers or of a note written here.
+    accepted : list of int
+        Generations that notes written here have made.
     unwritten : list of str
         Intents that turned out not to be written; others are to be told.
     """
@@ -72,6 +74,7 @@
         self.urgent = False
         self.kept = Kept(state)
         self.arrived: list[Loaded] = []
+        self.accepted: list[int] = []
         self.unwritten: list[str] = []
         self._own_domains = [state.settings['domain']]
         self._counted_at = 0.0
