--- a/rosemaryweir/config/retention.py
+++ b/rosemaryweir/config/retention.py
@@ -20,7 +20,7 @@
     attempt_key,
     attempt_objects,
 )
-from rosemaryweir.node.action import Action, StoreDelete, StoreList
+from rosemaryweir.node.action import Action, StoreDelete, StoreGet, StoreList
 from rosemaryweir.node.event import StoreFailed, StoreObject, StoreReply
 from rosemaryweir.schema.generated.control import Attempt
 
@@ -47,7 +47,7 @@
 
 
 class Doomed(NamedTuple):
-    """An object to be deleted, and its version as far as known."""
+    """An object to be deleted, and its version; 0: it must be looked up."""
 
     key: str
     version: int
@@ -79,6 +79,7 @@
         self._rounds: deque[Round] = deque()
         self._call = ''
         self._doomed: deque[Doomed] = deque()
+        self._lookup = False
 
     def accepted(self, generation: int, now: float) -> None:
         """Take it that the head has reached a generation."""
@@ -102,29 +103,45 @@
         if event.call != self._call:
             return
         if self._doomed:
-            self._take_deleted(event)
+            self._take_step(event)
         else:
-            bound = self._rounds[0].generation
-            self._doomed.extend(_doomed(event.objects, bound))
+            self._take_listing(event)
         if self._doomed:
             key, version = self._doomed[0]
-            yield StoreDelete(self._new_call(), key, version)
+            call = self._new_call()
+            yield (
+                StoreDelete(call, key, version)
+                if version
+                else StoreGet(call, key)
+            )
         else:
             self._call = ''
+            self._lookup = False
             self._rounds.popleft()
 
     def take_failure(self, event: StoreFailed, now: float) -> None:
-        """Begin the clean-up again later: what is gone isn't listed."""
+        """Begin the clean-up again later, and look each version up then.
+
+        The call may have failed since its object is gone or is another.
+        """
         if event.call == self._call:
             self._call = ''
+            self._lookup = True
             self._doomed.clear()
             self._rounds[0] = self._rounds[0]._replace(due=now + RETRY_S)
 
-    def _take_deleted(self, event: StoreReply) -> None:
-        """Go on, or delete again with the version that is found."""
-        key, _ = self._doomed.popleft()
+    def _take_listing(self, event: StoreReply) -> None:
+        doomed = _doomed(event.objects, self._rounds[0].generation)
+        self._doomed.extend(
+            each._replace(version=0) if self._lookup else each
+            for each in doomed
+        )
+
+    def _take_step(self, event: StoreReply) -> None:
+        """Go on, or delete the version that was found."""
+        key, version = self._doomed.popleft()
         found = event.objects[0].version if event.objects else 0
-        if event.status == 'conflict' and found:
+        if found and (not version or event.status == 'conflict'):
             self._doomed.appendleft(Doomed(key, found))
 
     def _new_call(self) -> str:
--- a/rosemaryweir/config/tests/test_retention.py
+++ b/rosemaryweir/config/tests/test_retention.py
@@ -148,6 +148,21 @@
     assert len(store.objects) == 1 + KEPT * OBJECTS
 
 
+def test_refused_delete_without_an_answer_ends_in_a_later_round():
+    store = Store()
+    write(store, 1, KEPT + 1)
+    cleaner = Cleaner('clean', KEPT, 0.0)
+    cleaner.accepted(KEPT + 1, 0.0)
+    (listing,) = cleaner.wake(0.0)
+    (first,) = cleaner.take_reply(store.run(listing))
+    store.objects.pop(first.key)
+    cleaner.take_failure(StoreFailed(first.call, 'unknown'), 0.0)
+    calls = clean(cleaner, store, RETRY_S)
+    assert first not in calls
+    assert len(store.objects) == 1 + KEPT * OBJECTS
+    assert cleaner.next_wake() is None
+
+
 def test_work_for_one_note_is_bounded():
     store = Store()
     write(store, 1, 50)
