--- a/benchmarks/cold.py
+++ b/benchmarks/cold.py
@@ -25,7 +25,6 @@
     at_most,
     benchmark,
 )
-from rosemaryweir.schema.generated.config import Service
 from rosemaryweir.targets import account
 from rosemaryweir.targets.warmth import Warmth
 from rosemaryweir.testing import (
@@ -113,16 +112,7 @@
 class ColdCluster(Cluster):
     """A cluster with targets that note their first sign."""
 
-    def _target(
-        self,
-        name: str,
-        spec: TargetSpec,
-        service: Service,
-    ) -> FakeTarget:
-        rng = Random(self.rng.getrandbits(32))
-        target = ColdTarget(name, spec, self.scheduler, rng)
-        target.layout = service['layout']
-        return target
+    target_type = ColdTarget
 
 
 class Unguarded(Warmth):
--- a/rosemaryweir/testing/cluster.py
+++ b/rosemaryweir/testing/cluster.py
@@ -33,7 +33,11 @@
 from rosemaryweir.schema.generated.settings import Settings
 from rosemaryweir.testing.deployment import Deployment, config_of, vm_settings
 from rosemaryweir.testing.fake_store import FakeStore
-from rosemaryweir.testing.fake_target import ServiceTime, exponential
+from rosemaryweir.testing.fake_target import (
+    FakeTarget,
+    ServiceTime,
+    exponential,
+)
 from rosemaryweir.testing.network import CALLER, Network
 from rosemaryweir.testing.peer_link import PeerLink
 from rosemaryweir.testing.process import Ask, Logged, Process, static_node
@@ -69,6 +73,8 @@
 
     Attributes
     ----------
+    target_type : type
+        What the fakes of targets are.
     targets : dict of str to FakeTarget
         The fakes, with their faults and logs.
     store : FakeStore
@@ -83,6 +89,8 @@
         Messages between processes, counted if `size_of` is given.
     """
 
+    target_type = FakeTarget
+
     def __init__(
         self,
         settings: list[Settings],
@@ -106,6 +114,7 @@
             self.deliver,
             config,
             service_time or exponential(0.01),
+            self.target_type,
         )
         self.targets = self.link.targets
         self.peers = PeerLink(
--- a/rosemaryweir/testing/target_link.py
+++ b/rosemaryweir/testing/target_link.py
@@ -49,6 +49,8 @@
         ``(process, event)`` gives a process an event.
     service_time : callable
         ``rng -> seconds`` of targets that come.
+    target_type : type
+        What they are.
 
     Attributes
     ----------
@@ -65,12 +67,14 @@
         deliver: Callable[[Process, Event], None],
         config: Config,
         service_time: ServiceTime,
+        target_type: type[FakeTarget] = FakeTarget,
     ) -> None:
         self.scheduler = scheduler
         self.network = network
         self.deliver = deliver
         self.config = config
         self.service_time = service_time
+        self.target_type = target_type
         self.targets: dict[str, FakeTarget] = {}
         self._handlers: dict[type, Callable[[Process, Any], None]] = {
             OpenConnection: self._open,
@@ -89,7 +93,7 @@
             ):
                 if name not in self.targets:
                     target_rng = Random(rng.getrandbits(32))
-                    self.targets[name] = FakeTarget(
+                    self.targets[name] = self.target_type(
                         name, spec, self.scheduler, target_rng
                     )
                     self.targets[name].layout = service['layout']
