A leaf carries owners on from view to view; withdrawals count members dropped a moment ago

Cause: at each view of a failure domain a leaf weighed every target against every member: 4.0 s for 7,500 targets and 800 members, longer than a lease. Change: only members that joined are weighed, only targets of those that left are placed anew. A slope that seems negative is carried on as flat.

Change: who was in a view 3 s ago counts (config/lately.py).

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -20,6 +20,7 @@
     measure_spread,
     write_seconds,
 )
+from benchmarks.capacity_views import adoption_seconds, replacement_bytes
 from benchmarks.report import Check, Report, at_most, benchmark
 from rosemaryweir.compose import Node
 from rosemaryweir.config.content import (
@@ -48,6 +49,8 @@
 DOMAINS = 11
 CHANGES_PER_DAY = 7000
 REPLACEMENTS_PER_DAY = 9900
+#: Versions of a view that replace one VM: one joins, one leaves.
+VERSIONS = 2
 SECONDS_PER_DAY = 86_400
 CONTROL_BYTES_PER_S = 9000.0
 CONTROL_MB = 256.0
@@ -72,8 +75,8 @@
     each: float
 
     def at(self, count: float) -> float:
-        """Return the cost at a count."""
-        return self.fixed + self.each * count
+        """Return the cost at a count; what seems to shrink is constant."""
+        return self.fixed + max(0.0, self.each) * count
 
 
 def _slope(low: int, high: int, cost: Callable[[int], float]) -> Slope:
@@ -206,6 +209,12 @@
             lambda count: float(len(msgspec.json.encode(_members(count)))),
         ),
         'view_memory_per_member': _slope(100, 1000, _decoded_members),
+        'view_change_bytes_per_member': _slope(100, 800, replacement_bytes),
+        'view_change_s_per_target': _slope(
+            low // DOMAINS,
+            high // DOMAINS,
+            lambda count: adoption_seconds(count, NODES // DOMAINS),
+        ),
         'entry_memory_per_target': _slope(
             low, high, lambda size: _node('entry', size)
         ),
@@ -245,7 +254,9 @@
     # What one VM gets another sends.
     newcomers = 2 * config_bytes * newcomers_per_s
     chunk_names = config_bytes / CHUNK_BYTES * len(chunk_key(32 * 'f', 0))
-    view_bytes = costs['view_bytes_per_member'].at(NODES) / DOMAINS
+    members = NODES / DOMAINS
+    view_changes_per_s = VERSIONS * REPLACEMENTS_PER_DAY / SECONDS_PER_DAY
+    view_change_s = costs['view_change_s_per_target'].at(SERVERS / DOMAINS)
     owned = SERVERS / NODES
     return {
         'config_mb': config_bytes / MB,
@@ -261,9 +272,14 @@
             (costs['change_head_bytes'].at(SERVERS) + chunk_names)
             * HEAD_READS_PER_S
         ),
-        'views_bytes_per_s': (
-            2 * view_bytes * REPLACEMENTS_PER_DAY / SECONDS_PER_DAY
+        # What one VM gets another sends.
+        'view_change_bytes_per_s': (
+            2
+            * costs['view_change_bytes_per_member'].at(members)
+            * view_changes_per_s
         ),
+        'view_change_s': view_change_s,
+        'view_change_core': view_change_s * view_changes_per_s / DOMAINS,
         **{f'{role}_apply_s': cost for role, cost in apply_s.items()},
         'apply_core': sum(apply_s.values()) * changes_per_s,
         'note_write_s': costs['note_write_s_per_target'].at(SERVERS),
@@ -278,14 +294,14 @@
             CONTROL_MB,
         ),
         at_most(
-            'bytes a second of configurations, extrapolated',
-            design['config_bytes_per_s'],
+            'bytes a second of configurations and views, extrapolated',
+            design['config_bytes_per_s'] + design['view_change_bytes_per_s'],
             CONTROL_BYTES_PER_S,
         ),
         at_most('messages of whole content for changes', whole, 0),
         at_most(
             'share of a core to apply changes, extrapolated',
-            design['apply_core'],
+            design['apply_core'] + design['view_change_core'],
             CONTROL_CORE,
         ),
     )
--- /dev/null
+++ b/rosemaryweir/config/lately.py
@@ -0,0 +1,80 @@
+"""Who was a member of the views a moment ago."""
+
+from collections.abc import Iterator, Mapping
+from typing import NamedTuple
+
+from rosemaryweir.schema.generated.control import Member, View
+
+__all__ = ['Lately']
+
+#: A member that was dropped counts for so long, in seconds.
+KEPT_S = 3.0
+
+#: States of members that count.
+COUNTED = frozenset(('alive', 'suspect'))
+
+
+class Seen(NamedTuple):
+    """A member and when it was last in its view."""
+
+    member: Member
+    when: float
+
+
+class Lately:
+    """Members of the views, those dropped a moment ago among them.
+
+    A VM that is cut off from its peers, but not from the store, takes them for
+    dead and drops them from the views; they put themselves back.  In between
+    the views show few members: who asks for most of them must not count those
+    alone.
+
+    Examples
+    --------
+    >>> lately = Lately()
+    >>> member = {'vm': 'a', 'state': 'alive'}
+    >>> lately.observe({'d': {'version': 1, 'members': [member]}}, 0.0)
+    >>> lately.observe({'d': {'version': 2, 'members': []}}, 1.0)
+    >>> [each['vm'] for each in lately.members(2.0)]
+    ['a']
+    >>> list(lately.members(4.0))
+    []
+    """
+
+    def __init__(self) -> None:
+        self._views: dict[str, View] = {}
+        self._dropped: dict[str, Seen] = {}
+
+    def observe(self, views: Mapping[str, View], now: float) -> None:
+        """Look at the views in use; only those that changed cost anything."""
+        for domain, view in views.items():
+            known = self._views.get(domain)
+            if known is None or known['version'] != view['version']:
+                self._compare(known, view, now)
+                self._views[domain] = view
+
+    def members(self, now: float) -> Iterator[Member]:
+        """Yield who counts now."""
+        self._dropped = {
+            vm: seen
+            for vm, seen in self._dropped.items()
+            if now - seen.when < KEPT_S
+        }
+        present: set[str] = set()
+        for view in self._views.values():
+            for member in view['members']:
+                present.add(member['vm'])
+                if member['state'] in COUNTED:
+                    yield member
+        for vm, seen in self._dropped.items():
+            if vm not in present:
+                yield seen.member
+
+    def _compare(self, known: View | None, view: View, now: float) -> None:
+        if known is None:
+            return
+        present = {member['vm'] for member in view['members']}
+        for member in known['members']:
+            gone = member['vm'] not in present
+            if gone and member['state'] in COUNTED:
+                self._dropped[member['vm']] = Seen(member, now)
--- a/rosemaryweir/config/note_service.py
+++ b/rosemaryweir/config/note_service.py
@@ -8,6 +8,7 @@
 from returns.result import Failure
 
 from rosemaryweir.config.head import NoteWriter, Outcome
+from rosemaryweir.config.lately import Lately
 from rosemaryweir.config.note import check, plan
 from rosemaryweir.config.note_answers import (
     HTTP_UNAVAILABLE,
@@ -69,8 +70,8 @@
 #: Peers that an announcement is sent to directly.
 ANNOUNCED = 32
 
-#: States of members that are asked to acknowledge.
-ASKED = frozenset(('alive', 'suspect'))
+#: Time between two looks at the members of the views, in seconds.
+LOOK_S = 1.0
 
 #: Peers that a settled intent is passed on to.
 SETTLED_SENT = 4
@@ -104,6 +105,8 @@
         self._awaited: set[str] = set()
         self._announced = 0.0
         self._rounds = 0
+        self._lately = Lately()
+        self._look = 0.0
 
     def next_wake(self) -> float | None:
         """Return the time of the next step of the note under way."""
@@ -111,8 +114,8 @@
         if self.control.unwritten:
             return 0.0
         if writer is None:
-            return None
-        waits = [writer.next_wake()]
+            return self._look
+        waits = [writer.next_wake(), self._look]
         if writer.step == 'announcing':
             waits.append(self._announced + ANNOUNCE_S)
         if writer.step == 'syncing':
@@ -123,6 +126,8 @@
 
     def wake(self, now: float) -> Iterator[Action]:
         """Go on with the note under way; pass on what is settled."""
+        self._look = now + LOOK_S
+        self._lately.observe(self.state.views, now)
         while self.control.unwritten:
             note = self.control.unwritten.pop()
             message = Settled(kind='settled', note=note, generation=0)
@@ -276,11 +281,11 @@
             age_ms=0.0,
         )
         self.control.intents.add(intent, now)
-        # Of the views, not of what is heard: a VM cut off hears of nobody.
+        self._lately.observe(self.state.views, now)
         peers = [
             member
-            for member in self.state.members()
-            if member['state'] in ASKED and member['vm'] != uid.vm
+            for member in self._lately.members(now)
+            if member['vm'] != uid.vm
         ]
         chosen = self.rng.sample(peers, min(ANNOUNCED, len(peers)))
         self._asked = {member['vm'] for member in chosen}
--- a/rosemaryweir/targets/ownership.py
+++ b/rosemaryweir/targets/ownership.py
@@ -1,6 +1,7 @@
 """Ownership of targets: which leaf holds the connections of a target."""
 
 from collections.abc import Sequence
+from typing import NamedTuple
 
 import xxhash
 
@@ -75,8 +76,21 @@
     return rendezvous(target, _alive(view))
 
 
+class Placed(NamedTuple):
+    """Owners under one version of a view, of the targets asked for."""
+
+    version: int
+    alive: tuple[str, ...]
+    owners: dict[str, str | None]
+
+
 class Owners:
-    """Owners of targets, kept for each view until it changes.
+    """Owners of targets, carried on from view to view.
+
+    Notes
+    -----
+    A new view costs one weight for each target known and member joined; only
+    the targets of members that left are placed anew.
 
     Examples
     --------
@@ -87,19 +101,34 @@
     """
 
     def __init__(self) -> None:
-        self._known: dict[str, tuple[int, dict[str, str | None]]] = {}
+        self._known: dict[str, Placed] = {}
 
     def of(self, target: str, view: View | None) -> str | None:
-        """Return `owner` of a target, computed once for each view."""
+        """Return `owner` of a target."""
         if view is None:
             return None
-        version, table = self._known.get(view['domain'], (-1, {}))
-        if version != view['version']:
-            table = {}
-            self._known[view['domain']] = (view['version'], table)
-        if target not in table:
-            table[target] = owner(target, view)
-        return table[target]
+        domain = view['domain']
+        placed = self._known.get(domain)
+        if placed is None or placed.version != view['version']:
+            placed = _carried(placed, view)
+            self._known[domain] = placed
+        if target not in placed.owners:
+            placed.owners[target] = rendezvous(target, placed.alive)
+        return placed.owners[target]
+
+
+def _carried(before: Placed | None, view: View) -> Placed:
+    alive = tuple(_alive(view))
+    if before is None:
+        return Placed(view['version'], alive, {})
+    joined = set(alive).difference(before.alive)
+    staying = set(alive).intersection(before.alive)
+    owners = {
+        target: rendezvous(target, (vm, *joined)) if joined else vm
+        for target, vm in before.owners.items()
+        if vm in staying
+    }
+    return Placed(view['version'], alive, owners)
 
 
 def _alive(view: View) -> list[str]:
--- a/rosemaryweir/targets/tests/test_fleet_changes.py
+++ b/rosemaryweir/targets/tests/test_fleet_changes.py
@@ -3,6 +3,7 @@
 import pytest
 
 from rosemaryweir.targets import handover
+from rosemaryweir.targets.ownership import Owners
 from rosemaryweir.testing.cluster import Cluster
 from rosemaryweir.testing.deployment import (
     HALVORSEN,
@@ -14,13 +15,13 @@
 @pytest.fixture
 def asked(monkeypatch):
     names = []
-    owner = handover.owner
 
-    def counted(target, view):
-        names.append(target)
-        return owner(target, view)
+    class Counted(Owners):
+        def of(self, target, view):
+            names.append(target)
+            return super().of(target, view)
 
-    monkeypatch.setattr(handover, 'owner', counted)
+    monkeypatch.setattr(handover, 'Owners', Counted)
     return names
 
 
--- a/rosemaryweir/targets/tests/test_ownership.py
+++ b/rosemaryweir/targets/tests/test_ownership.py
@@ -1,6 +1,7 @@
 """Tests of the placement of targets."""
 
 from collections import Counter
+from random import Random
 
 from rosemaryweir.targets.ownership import Owners, owner
 
@@ -37,3 +38,18 @@
         view = _view(version, vm2=state)
         found = [owners.of(target, view) for target in TARGETS]
         assert found == [owner(target, view) for target in TARGETS]
+
+
+def test_owners_are_the_same_carried_on_as_placed_anew():
+    rng = Random(5)
+    owners = Owners()
+    states = ('alive', 'alive', 'suspect', 'dead')
+    for version in range(1, 40):
+        members = [
+            {'vm': f'vm{number}', 'state': rng.choice(states)}
+            for number in range(rng.randint(0, 9))
+        ]
+        view = {'domain': 'd', 'version': version, 'members': members}
+        asked = rng.sample(TARGETS, 200)
+        found = [owners.of(target, view) for target in asked]
+        assert found == [owner(target, view) for target in asked]
