--- a/rosemaryweir/config/note_service.py
+++ b/rosemaryweir/config/note_service.py
@@ -7,8 +7,8 @@
 
 from returns.result import Failure
 
+from rosemaryweir.config.announcement import Announcement
 from rosemaryweir.config.head import NoteWriter, Outcome
-from rosemaryweir.config.lately import Lately
 from rosemaryweir.config.note import check, plan
 from rosemaryweir.config.note_answers import (
     HTTP_UNAVAILABLE,
@@ -30,7 +30,6 @@
 from rosemaryweir.node.part import Part, handles, part_of
 from rosemaryweir.node.state import NodeState
 from rosemaryweir.schema.generated.control import (
-    Intent,
     IntentAck,
     IntentSent,
     Member,
@@ -58,18 +57,12 @@
 #: Notes that wait at one agent.
 QUEUE = 16
 
-#: Time that peers get to acknowledge an announcement, in seconds.
-ANNOUNCE_S = 0.4
-
 #: Pause before the generation in force here is looked at again, in seconds.
 SYNC_S = 0.05
 
 #: Time after which an operator is answered in any case, in seconds.
 LIMIT_S = 10.0
 
-#: Peers that an announcement is sent to directly.
-ANNOUNCED = 32
-
 #: Time between two looks at the members of the views, in seconds.
 LOOK_S = 1.0
 
@@ -100,12 +93,8 @@
         self._writer: NoteWriter | None = None
         self._answered = False
         self._number = 0
-        self._intent = ''
-        self._asked: set[str] = set()
-        self._awaited: set[str] = set()
-        self._announced = 0.0
-        self._rounds = 0
-        self._lately = Lately()
+        self._announcement = Announcement(state.uid, rng)
+        self._synced = 0.0
         self._look = 0.0
 
     def next_wake(self) -> float | None:
@@ -117,9 +106,9 @@
             return self._look
         waits = [writer.next_wake(), self._look]
         if writer.step == 'announcing':
-            waits.append(self._announced + ANNOUNCE_S)
+            waits.append(self._announcement.ends)
         if writer.step == 'syncing':
-            waits.append(self._announced + SYNC_S)
+            waits.append(self._synced + SYNC_S)
         if not self._answered:
             waits.append(self._limit())
         return min((wait for wait in waits if wait is not None), default=None)
@@ -127,7 +116,7 @@
     def wake(self, now: float) -> Iterator[Action]:
         """Go on with the note under way; pass on what is settled."""
         self._look = now + LOOK_S
-        self._lately.observe(self.state.views, now)
+        self._announcement.lately.observe(self.state.views, now)
         while self.control.unwritten:
             note = self.control.unwritten.pop()
             message = Settled(kind='settled', note=note, generation=0)
@@ -197,8 +186,8 @@
     @handles(PeerMessage, 'intent_ack')
     def take_ack(self, event: PeerMessage, now: float) -> Iterator[Action]:
         """Note that a peer knows the announcement."""
-        if event.message['note'] == self._intent:
-            self._awaited.discard(event.sender.partition('/')[0])
+        vm = event.sender.partition('/')[0]
+        if self._announcement.acknowledge(event.message['note'], vm):
             yield from self._advance(now)
 
     @handles(PeerMessage, 'settled')
@@ -224,12 +213,12 @@
         self._current = self._queue.popleft()
         self._number += 1
         self._answered = False
-        self._intent = ''
+        self._announcement.intent = ''
         topic = f'{TOPIC}:{self._number}'
         uid = self.state.uid
         name = f'{uid.vm}-{uid.incarnation}-{self._number}'
         self._writer = NoteWriter(self._current.note, topic, name, now)
-        self._announced = now
+        self._synced = now
         yield from self._writer.begin()
 
     def _limit(self) -> float:
@@ -241,7 +230,7 @@
         if writer is None:
             return
         if writer.step == 'syncing':
-            self._announced = now
+            self._synced = now
             writer.resume(self.state.config)
         if writer.step == 'announcing':
             yield from self._announce(writer, now)
@@ -249,59 +238,39 @@
             yield from self._settle(writer, writer.outcome, now)
 
     def _announce(self, writer: NoteWriter, now: float) -> Iterator[Action]:
-        over = now >= self._announced + ANNOUNCE_S
+        announcement = self._announcement
+        over = now >= announcement.ends
         if not writer.withdrawn:
             yield from writer.write()
-        elif not self._intent:
+        elif not announcement.intent:
             yield from self._send_intent(writer, now)
-        elif not self._awaited or (over and self._acknowledged()):
+        elif announcement.all_told or (over and announcement.most_told):
             yield from writer.write()
         elif over:
             yield from self._revoke_intent(now)
             yield from self._send_intent(writer, now)
 
-    def _acknowledged(self) -> bool:
-        """Return whether most know of the intent, this VM among them.
-
-        With fewer, the store could go down right after the write, and those
-        who were not told would keep the failure domain in use.
-        """
-        told = 1 + len(self._asked) - len(self._awaited)
-        return 2 * told > 1 + len(self._asked)
-
     def _send_intent(self, writer: NoteWriter, now: float) -> Iterator[Action]:
-        uid = self.state.uid
-        self._rounds += 1
-        self._intent = f'{uid.vm}/{uid.incarnation}/{self._rounds}'
-        self._announced = now
-        intent = Intent(
-            note=self._intent,
-            generation=writer.expected_generation,
-            domains=writer.withdrawn,
-            age_ms=0.0,
-        )
+        announcement = self._announcement
+        generation = writer.expected_generation
+        intent = announcement.begin(generation, writer.withdrawn, now)
         self.control.intents.add(intent, now)
-        self._lately.observe(self.state.views, now)
-        peers = [
-            member
-            for member in self._lately.members(now)
-            if member['vm'] != uid.vm
-        ]
-        chosen = self.rng.sample(peers, min(ANNOUNCED, len(peers)))
-        self._asked = {member['vm'] for member in chosen}
-        self._awaited = set(self._asked)
-        for member in chosen:
+        announcement.lately.observe(self.state.views, now)
+        for member in announcement.choose(now):
             yield _send(member, IntentSent(kind='intent', intent=intent), now)
-        if not chosen:
+        if announcement.all_told:
             yield from writer.write()
 
     def _revoke_intent(self, now: float) -> Iterator[Action]:
         """Tell that nothing of an intent was written, nor will be."""
-        if not self._intent:
-            return
-        message = Settled(kind='settled', note=self._intent, generation=0)
-        self.control.intents.settle(self._intent)
-        self._intent = ''
+        if self._announcement.intent:
+            yield from self._settle_intent(0, now)
+
+    def _settle_intent(self, generation: int, now: float) -> Iterator[Action]:
+        note = self._announcement.intent
+        self._announcement.intent = ''
+        self.control.intents.settle(note)
+        message = Settled(kind='settled', note=note, generation=generation)
         yield from self._pass_settled(message, now)
 
     def _settle(
@@ -325,15 +294,10 @@
         if outcome.state == 'accepted' and writer.made is not None:
             self.control.arrived.append(writer.made)
             self.control.accepted.append(outcome.generation)
-        if self._intent:
+        if self._announcement.intent:
             accepted = outcome.state == 'accepted'
-            self.control.intents.settle(self._intent)
-            message = Settled(
-                kind='settled',
-                note=self._intent,
-                generation=outcome.generation if accepted else 0,
-            )
-            yield from self._pass_settled(message, now)
+            generation = outcome.generation if accepted else 0
+            yield from self._settle_intent(generation, now)
         yield from self._next(now)
 
     def _give_answer(self, now: float) -> Iterator[Action]:
