--- a/rosemaryweir/cli/main.py
+++ b/rosemaryweir/cli/main.py
@@ -1,6 +1,7 @@
 """The command line: ``rosemaryweir COMMAND``."""
 
 import json
+import os
 import pathlib
 import sys
 import time
@@ -199,7 +200,11 @@
 
 def main() -> None:
     """Run the command line."""
-    fire.Fire(Commands, name='rosemaryweir')
+    try:
+        fire.Fire(Commands, name='rosemaryweir')
+    except BrokenPipeError:
+        # Whoever read the output has seen enough; nothing more is printed.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
 
 
 if __name__ == '__main__':
--- a/rosemaryweir/cli/show.py
+++ b/rosemaryweir/cli/show.py
@@ -94,6 +94,8 @@
         2.0 ms | ######################################## 3
     """
     yield f'{page["vm"]}/{page["role"]}'
+    if not page['histograms']:
+        yield 'nothing recorded'
     for name, bins in page['histograms'].items():
         yield name
         yield text_plot(Bin(*each) for each in bins)
