Target passed over on old latencies is tried again soon, also at its cold limit

A replica that is dearer than its two neighbours never wins among two of three, and what was seen was only forgotten after 5 s. Even then a trial was refused while the leaf told of any load, as it does of an idle target that it holds at its cold limit, which only an answer raises: neither side moved.

Change: what was seen of a target that is dearer than 1.25 medians, neither ejected nor mostly late, holds for 0.25 s times the square of its latency in medians, at most 5 s. A trial goes to a free slot at the cold limit as well, and before two idle neighbours. One that was given up is over and clears nothing: it was repeated at once.

--- a/rosemaryweir/query/replica.py
+++ b/rosemaryweir/query/replica.py
@@ -15,6 +15,9 @@
 UNSEEN = 1.5
 #: Factor on a target that shares leaf or failure domain with the first one.
 SHARED = 4
+#: Factor on a target that is to be tried, for a first attempt: else two idle
+#: neighbours would keep it from ever being tried.
+TRIAL_SHARE = 0.25
 #: Factor on a target that its leaf may not use now.
 CLOSED = 1000
 #: A score from which on all replicas are looked at.
@@ -66,7 +69,7 @@
         pending = sight.reported
     cost = (sight.latency + replica.far) * (1 + pending / sight.limit)
     cost *= sight.weight
-    if sight.trial and pending:
+    if sight.trial and not sight.untried:
         cost *= POOR / sight.latency
     if now < sight.closed_until:
         cost *= CLOSED
@@ -97,8 +100,8 @@
         second = int(rng.random() * (count - 1))
         one = replicas[first]
         other = replicas[second + (second >= first)]
-        cost = score(one, key, now)
-        other_cost = score(other, key, now)
+        cost = _first_score(one, key, now)
+        other_cost = _first_score(other, key, now)
         if other_cost < cost:
             one, cost = other, other_cost
         if cost < POOR:
@@ -126,6 +129,11 @@
     return replicas[place] if cost < NEVER else None
 
 
+def _first_score(replica: Replica, key: VersionKey, now: float) -> float:
+    cost = score(replica, key, now)
+    return cost * TRIAL_SHARE if replica.sight.untried else cost
+
+
 def _shared(replica: Replica, tried: Collection[Replica]) -> float:
     shares = any(
         replica.domain == each.domain or replica.health is each.health
--- a/rosemaryweir/query/sighting.py
+++ b/rosemaryweir/query/sighting.py
@@ -111,6 +111,14 @@
         """Whether another request would run at once."""
         return self.pending < self.limit
 
+    @property
+    def untried(self) -> bool:
+        """Whether it is on trial, and its one attempt would run at once.
+
+        A cold limit alone is no load: without work it would never rise.
+        """
+        return self.trial and not self.own and self.has_room
+
     def took(self, latency: float, slow: float, now: float) -> None:
         """Count the latency of an attempt.
 
@@ -128,7 +136,12 @@
 
     def at_least(self, latency: float, slow: float, now: float) -> None:
         """Count an attempt that was given up after some time."""
-        if latency > slow or latency > self.latency:
+        if self.trial:
+            # Nothing clears it, or it would be tried again at once.
+            self.trial = False
+            latency = max(latency, self.latency)
+            self.took(latency * GIVEN_UP_FOLD, slow * GIVEN_UP_FOLD, now)
+        elif latency > slow or latency > self.latency:
             self.took(latency * GIVEN_UP_FOLD, slow * GIVEN_UP_FOLD, now)
 
     def forget(self, prior: float) -> None:
--- a/rosemaryweir/query/straggler.py
+++ b/rosemaryweir/query/straggler.py
@@ -31,6 +31,11 @@
 EJECTED_WEIGHT = 1000
 #: After this time without a latency a target is tried again, in seconds.
 FORGET_S = 5
+#: One that is passed over, but not ejected, is tried again after this time
+#: (s), multiplied by the square of its latency in relation to the median.
+RETRY_S = 0.25
+#: A target is passed over if its cost is above this multiple of the median.
+PASSED_OVER_FOLD = 1.25
 #: How long the load that a leaf reported is believed, in seconds.
 LOAD_S = 0.25
 
@@ -105,8 +110,21 @@
 
 
 def _refresh(seen: Sighting, usual: float, now: float) -> None:
+    patience = _patience(seen, usual)
     seen.weight = 1
     if now - seen.reported_at > LOAD_S:
         seen.reported = 0
-    if seen.samples and now - seen.seen > FORGET_S and not seen.own:
+    if seen.samples and now - seen.seen > patience and not seen.own:
         seen.forget(usual)
+
+
+def _patience(seen: Sighting, usual: float) -> float:
+    """Return how long what was seen of a target holds, in seconds.
+
+    A target that is passed over can't show that it has got faster, nor its
+    leaf that it is warm: the less it is slower, the sooner it is tried.
+    """
+    cost = seen.latency * (1 + seen.reported / seen.limit)
+    if seen.weight > 1 or seen.slow or cost <= PASSED_OVER_FOLD * usual:
+        return FORGET_S
+    return min(FORGET_S, RETRY_S * (seen.latency / usual) ** 2)
--- a/rosemaryweir/query/tests/test_choice.py
+++ b/rosemaryweir/query/tests/test_choice.py
@@ -182,3 +182,36 @@
     assert budget.spend()
     budget.trickle(50, 200.0)
     assert budget.tokens <= 1
+
+
+def test_target_passed_over_on_old_latencies_is_soon_tried_again():
+    sights = [seen_with(f't{number}', 5) for number in range(5)]
+    for sight in sights:
+        sight.took(0.02 if sight is sights[0] else 0.01, 0.05, 1.0)
+    eject([sights], 1.9)
+    assert not any(sight.trial for sight in sights)
+    eject([sights], 2.1)
+    assert [sight.target for sight in sights if sight.trial] == ['t0']
+
+
+def test_idle_target_held_cold_by_its_leaf_is_tried_by_one_attempt():
+    replicas = [replica(number) for number in range(3)]
+    cold = replicas[0].sight
+    cold.reported = 1
+    cold.forget(0.01)
+    picks = [choose(replicas, KEY, Random(seed), 1.0) for seed in range(20)]
+    assert replicas[0] in picks
+    cold.own = 1
+    picks = [choose(replicas, KEY, Random(seed), 1.0) for seed in range(20)]
+    assert replicas[0] not in picks
+
+
+def test_trial_that_was_given_up_is_not_repeated_at_once():
+    sight = seen_with('t', 5)
+    sight.took(0.1, 0.05, 1.0)
+    sight.late = 0.4
+    sight.forget(0.03)
+    sight.at_least(0.005, 0.05, 2.0)
+    assert not sight.trial
+    assert sight.late
+    assert sight.latency > 0.05
