--- a/rosemaryweir/query/tests/test_service.py
+++ b/rosemaryweir/query/tests/test_service.py
@@ -1,133 +1,15 @@
 """The entry's part for queries, against leaves that a test answers for."""
 
-from random import Random
-
 import pytest
 
-from rosemaryweir.node.action import LogEvent, ReplyCaller, SendPeer
 from rosemaryweir.node.event import (
     CallerGone,
-    CallerRequest,
-    PeerMessage,
     ShutdownAsked,
-    Wake,
 )
-from rosemaryweir.node.node import Node
-from rosemaryweir.node.state import Lease, NodeState, NodeUid
-from rosemaryweir.query import service as query_service
+from rosemaryweir.node.state import Lease
 from rosemaryweir.query.pin import LEARN_INTERVAL_S
-from rosemaryweir.query.service import QueryService
-from rosemaryweir.query.sighting import SHUT_S
-from rosemaryweir.schema.generated.config import ClassPolicy
-from rosemaryweir.testing.deployment import (
-    Deployment,
-    ServiceSize,
-    config_of,
-    vm_settings,
-)
-from rosemaryweir.testing.process import static_view
-
-SIZE = Deployment(
-    'small',
-    ('a', 'b', 'c'),
-    (ServiceSize('find', 'query', 4, 3, 2, 20, 1.0),),
-    {
-        'default': ClassPolicy(
-            deadline_ms=1000,
-            answer='complete',
-            coverage_floor=0.9,
-        ),
-        'early': ClassPolicy(
-            deadline_ms=1000,
-            answer='early',
-            early_ms=200,
-            coverage_floor=0.7,
-        ),
-    },
-)
-
-
-class Bench:
-    """An entry and what it sent; the test plays the leaves."""
-
-    def __init__(self):
-        settings = vm_settings(SIZE, 3)
-        self.state = NodeState(NodeUid('vm-000', 'entry', 7), settings[0])
-        self.state.config = config_of(SIZE)
-        self.state.lease = Lease(float('inf'), '')
-        for domain in SIZE.domains:
-            self.state.take_view(static_view(domain, settings))
-        self.part = QueryService(self.state, Random(4))
-        self.node = Node(self.state, [self.part])
-        self.now = 100.0
-        self.sent = []
-        self.replies = {}
-        self.logs = []
-        self.incarnations = {}
-
-    def give(self, event):
-        for action in self.node.handle(event, self.now):
-            if isinstance(action, SendPeer):
-                self.sent.append(action)
-            elif isinstance(action, ReplyCaller):
-                assert action.req not in self.replies
-                self.replies[action.req] = action
-            elif isinstance(action, LogEvent):
-                self.logs.append(action.number)
-
-    def ask(self, req, **more):
-        body = {'service': 'find', 'query': 'text', **more}
-        self.give(CallerRequest(req, 'query', body))
-
-    def take(self, kind='sub_query'):
-        """Return and forget what was sent of a kind."""
-        found = [each for each in self.sent if each.message['kind'] == kind]
-        self.sent = [each for each in self.sent if each not in found]
-        return found
-
-    def until(self, when):
-        wake = self.node.next_wake()
-        while wake is not None and wake <= when:
-            self.now = max(self.now, wake)
-            self.give(Wake())
-            wake = self.node.next_wake()
-        self.now = when
-
-    def answer(self, send, pieces=None, outcome='ok', version=5, layout=1):
-        """Answer a message of the entry as its leaf."""
-        message = send.message
-        chosen = message['pieces'] if pieces is None else pieces
-        served = outcome == 'ok' and message['version'] or version
-        self.give(
-            PeerMessage(
-                send.to,
-                self.incarnations.get(send.to, 1),
-                {
-                    'kind': 'partials',
-                    'query': message['query'],
-                    'pieces': [
-                        {
-                            **piece,
-                            'outcome': outcome,
-                            'ran': 'yes' if outcome == 'ok' else 'no',
-                            'layout': layout,
-                            'version': served,
-                            'rows': [['key', f'{piece["shard"]}@{served}']],
-                            'took_ms': 10.0,
-                        }
-                        for piece in chosen
-                    ],
-                    'loads': [],
-                },
-            ),
-        )
-
-    def warm_up(self):
-        """Let one query learn version 5; the next ones are pinned to it."""
-        self.ask(0)
-        for send in self.take():
-            self.answer(send)
-        assert self.replies[0].body['snapshot']['version'] == 5
+from rosemaryweir.query.tests.rig import SIZE, Bench, accounts
+from rosemaryweir.testing.deployment import config_of
 
 
 @pytest.fixture
@@ -137,18 +19,6 @@
     return made
 
 
-def accounts(bench):
-    fleet = bench.part.fleet
-    return (
-        len(bench.part.attempts),
-        sum(sight.own for sight in fleet.sights.values()),
-        sum(health.outstanding for health in fleet.leaves.values()),
-        sum(
-            lane.admission.limit.in_flight for lane in bench.part.lanes.values()
-        ),
-    )
-
-
 def test_whole_answer_with_one_message_for_each_leaf(bench):
     bench.ask(1)
     sends = bench.take()
@@ -164,133 +34,6 @@
     assert accounts(bench) == (0, 0, 0, 0)
 
 
-def test_silence_is_hedged_elsewhere_and_the_loser_is_cancelled(bench):
-    bench.ask(1)
-    first, *rest = bench.take()
-    for send in rest:
-        bench.answer(send)
-    bench.until(bench.now + 0.07)
-    hedges = bench.take()
-    assert {send.to for send in hedges}.isdisjoint({first.to})
-    for send in hedges:
-        bench.answer(send)
-    assert bench.replies[1].body['outcome'] == 'complete'
-    cancelled = bench.take('cancel_query')
-    assert {send.to for send in cancelled} == {first.to}
-    assert accounts(bench) == (0, 0, 0, 0)
-    bench.answer(first)
-    assert query_service.STRAY in bench.logs
-    assert len(bench.replies) == 2
-
-
-@pytest.mark.parametrize(
-    'outcome',
-    ['shed', 'not_owner', 'timeout', 'cut', 'failed', 'cancelled', 'out'],
-)
-def test_other_replica_serves_what_one_did_not(bench, outcome):
-    bench.ask(1)
-    sends = bench.take()
-    asked = {
-        piece['shard']: piece['target']
-        for send in sends
-        for piece in send.message['pieces']
-    }
-    for send in sends:
-        bench.answer(send, outcome=outcome)
-    again = bench.take()
-    pieces = [piece for send in again for piece in send.message['pieces']]
-    assert {piece['shard'] for piece in pieces} == set(asked)
-    assert all(piece['target'] != asked[piece['shard']] for piece in pieces)
-    for send in again:
-        bench.answer(send)
-    assert bench.replies[1].body['outcome'] == 'complete'
-
-
-def test_replica_that_refused_a_moment_ago_is_hedged_to(bench):
-    bench.ask(1)
-    first, *rest = bench.take()
-    for send in rest:
-        bench.answer(send)
-    (piece,) = first.message['pieces'][:1]
-    bench.answer(first, first.message['pieces'][1:])
-    bench.answer(first, [piece], outcome='shed')
-    tried = {piece['target']}
-    (second,) = bench.take()
-    bench.answer(second, outcome='shed')
-    tried.add(second.message['pieces'][0]['target'])
-    (third,) = bench.take()
-    assert third.message['pieces'][0]['target'] not in tried
-    bench.until(bench.now + 0.07)
-    hedges = bench.take()
-    assert {
-        each['target'] for send in hedges for each in send.message['pieces']
-    } <= tried
-    bench.answer(hedges[0])
-    assert bench.replies[1].body['outcome'] == 'complete'
-
-
-def test_refused_first_attempts_pay_for_their_retries(bench):
-    retries = bench.part.lanes['find'].retries
-    retries.tokens = 1
-    bench.ask(1)
-    for send in bench.take():
-        bench.answer(send, outcome='shed')
-    again = [piece for send in bench.take() for piece in send.message['pieces']]
-    assert len(again) >= 3
-
-
-def test_targets_that_no_leaf_may_use_are_asked_now_and_then(bench):
-    bench.ask(1)
-    began = bench.now
-    asked = 0
-    while bench.now < began + 0.5:
-        for send in bench.take():
-            asked += len(send.message['pieces'])
-            bench.answer(send, outcome='not_owner')
-        bench.until(bench.now + 0.001)
-    assert bench.part.status(bench.now)['not_run'] == {'not_owner': asked}
-    assert 12 < asked <= 12 * 0.5 / SHUT_S
-    for send in bench.take():
-        bench.answer(send)
-    bench.until(bench.now + 0.1)
-    for send in bench.take():
-        bench.answer(send)
-    assert bench.replies[1].body['outcome'] == 'complete'
-
-
-def test_shard_that_could_not_be_asked_at_first_costs_no_retry(bench):
-    for sight in bench.part.fleet.sights.values():
-        sight.closes(bench.now)
-    lane = bench.part.lanes['find']
-    before = lane.retries.tokens
-    bench.ask(1)
-    assert not bench.take()
-    for _ in range(100):
-        bench.until(bench.now + 0.001)
-        for send in bench.take():
-            bench.answer(send)
-    assert bench.replies[1].body['outcome'] == 'complete'
-    assert bench.part.runner.extra == 0
-    assert lane.retries.tokens >= before
-
-
-@pytest.mark.parametrize('full', [False, True])
-def test_while_requests_wait_only_free_slots_are_hedged_to(bench, full):
-    lane = bench.part.lanes['find']
-    lane.admission.limit.most = 1
-    bench.ask(1)
-    bench.ask(2)
-    assert lane.admission.pressed
-    first, *rest = bench.take()
-    for send in rest:
-        bench.answer(send)
-    for sight in bench.part.fleet.sights.values():
-        sight.reported = sight.limit * full
-        sight.reported_at = bench.now
-    bench.until(bench.now + 0.07)
-    assert bool(bench.take()) != full
-
-
 def test_index_change_repins_once_and_never_mixes(bench):
     bench.ask(1)
     sends = bench.take()
