--- a/rosemaryweir/daemons/logs.py
+++ b/rosemaryweir/daemons/logs.py
@@ -3,7 +3,7 @@
 import logging
 import sys
 from collections.abc import Mapping
-from typing import Any, Protocol, cast
+from typing import Any, Protocol, TextIO, cast
 
 import structlog
 
@@ -23,8 +23,19 @@
         """Log one event."""
 
 
-def configure_logs(level: str = DEFAULT_LEVEL) -> None:
-    """Send log events of a level and above to standard error."""
+def configure_logs(
+    level: str = DEFAULT_LEVEL,
+    stream: TextIO | None = None,
+) -> None:
+    """Send log events of a level and above to a stream.
+
+    Parameters
+    ----------
+    level : str
+        Least level.
+    stream : file-like, optional
+        Where lines go; standard error when left out.
+    """
     least = _LEVELS[level]
     structlog.configure(
         processors=[
@@ -33,7 +44,7 @@
             structlog.processors.JSONRenderer(default=repr),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(least),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(stream or sys.stderr),
     )
 
 
--- a/rosemaryweir/daemons/process.py
+++ b/rosemaryweir/daemons/process.py
@@ -16,7 +16,7 @@
 from rosemaryweir.exception import Finding, InvalidInput
 from rosemaryweir.node.catalogue import register_event
 from rosemaryweir.node.event import ShutdownAsked
-from rosemaryweir.platform.client import StoreClient
+from rosemaryweir.objectstore.client import StoreClient
 from rosemaryweir.schema.check import checked
 from rosemaryweir.schema.generated.settings import Settings
 from rosemaryweir.transport.callers import CallerPort
--- /dev/null
+++ b/rosemaryweir/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Requests sent straight from the VM that took them to their targets."""
--- /dev/null
+++ b/rosemaryweir/gateway/fleet.py
@@ -0,0 +1,80 @@
+"""The targets of each service, as far as they may be used."""
+
+from collections.abc import Collection, Iterable, Mapping
+
+from rosemaryweir.gateway.model import TargetEntry
+from rosemaryweir.gateway.target import Target
+
+__all__ = ['Fleet']
+
+
+class Fleet:
+    """Targets by name and by service."""
+
+    def __init__(self) -> None:
+        self._targets: dict[str, Target] = {}
+        self._services: dict[str, list[Target]] = {}
+        self._closed: frozenset[str] = frozenset()
+
+    def __iter__(self) -> Iterable[Target]:  # type: ignore[override]
+        """Iterate over all targets."""
+        return iter(tuple(self._targets.values()))  # type: ignore[return-value]
+
+    def get(self, name: str) -> Target | None:
+        """Return a target by its name."""
+        return self._targets.get(name)
+
+    def apply(
+        self,
+        entries: Mapping[str, TargetEntry],
+        closed: Collection[str],
+        now: float,
+    ) -> list[Target]:
+        """Take the registered targets; return those that are given up.
+
+        Parameters
+        ----------
+        entries : mapping of str to TargetEntry
+            All targets that are known to live.
+        closed : collection of str
+            Failure domains that get nothing.
+        now : float
+            Present time.
+        """
+        self._closed = frozenset(closed)
+        dropped = [
+            target
+            for name, target in self._targets.items()
+            if name not in entries or _restarted(target, entries[name])
+        ]
+        for old in dropped:
+            self._targets.pop(old.entry.name)
+        for name, entry in entries.items():
+            known = self._targets.get(name)
+            if known is None:
+                self._targets[name] = Target(entry, now)
+            else:
+                known.entry = entry
+        self._arrange()
+        return dropped
+
+    def usable(self, service: str) -> list[Target]:
+        """Return the targets of a service that may get new work."""
+        return [
+            target
+            for target in self._services.get(service, ())
+            if not target.gone
+        ]
+
+    def _arrange(self) -> None:
+        services: dict[str, list[Target]] = {}
+        for target in self._targets.values():
+            entry = target.entry
+            if not entry.leaving and entry.domain not in self._closed:
+                services.setdefault(entry.service, []).append(target)
+        self._services = services
+
+
+def _restarted(target: Target, entry: TargetEntry) -> bool:
+    moved = entry.address != target.entry.address
+    return moved or entry.born != target.entry.born
--- /dev/null
+++ b/rosemaryweir/gateway/gateway.py
@@ -0,0 +1,542 @@
+"""The decider of a VM's requests: from a caller's request to its answer.
+
+Every method takes the present time and returns actions; nothing here does
+I/O.
+"""
+
+import heapq
+from collections import Counter
+from collections.abc import Collection, Mapping
+from random import Random
+
+from rosemaryweir.gateway import events
+from rosemaryweir.gateway.action import (
+    Action,
+    Answer,
+    Ask,
+    Note,
+    TargetReply,
+)
+from rosemaryweir.gateway.fleet import Fleet
+from rosemaryweir.gateway.job import Attempt, Job, Piece
+from rosemaryweir.gateway.match import RouteTable
+from rosemaryweir.gateway.model import Configuration, Route, TargetEntry
+from rosemaryweir.gateway.outcome import Outcome, outcome_of
+from rosemaryweir.gateway.pace import Pace
+from rosemaryweir.gateway.records import greatest
+from rosemaryweir.gateway.sender import Sender
+from rosemaryweir.gateway.spending import ExtraSends, SpendingRule
+from rosemaryweir.gateway.split import WeightedTurns
+from rosemaryweir.gateway.timing import (
+    CUT_S,
+    TICK_S,
+    Clockwork,
+    aim_of,
+    deadline_of,
+    retry_after,
+)
+
+__all__ = ['Gateway']
+
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+HTTP_BAD_REQUEST = 400
+HTTP_BAD_GATEWAY = 502
+HTTP_UNAVAILABLE = 503
+HTTP_TIMEOUT = 504
+#: One success in so many is logged.
+LOGGED_SHARE = 50
+
+
+class Gateway:
+    """Requests under way on one VM.
+
+    Parameters
+    ----------
+    domain : str
+        Failure domain of the VM.
+    rule : SpendingRule
+        Allowance of extra sends.
+    rng : random.Random
+        Source of chance.
+
+    Attributes
+    ----------
+    counts : Counter
+        What became of requests and attempts, for the metrics.
+    """
+
+    def __init__(
+        self,
+        domain: str,
+        rule: SpendingRule,
+        rng: Random,
+    ) -> None:
+        self.counts: Counter[str] = Counter()
+        self.fleet = Fleet()
+        self.sender = Sender(self.fleet, domain, rng)
+        self.config: Configuration | None = None
+        self.rule = rule
+        self._rng = rng
+        self._table = RouteTable(())
+        self._turns: dict[str, WeightedTurns] = {}
+        self._paces: dict[str, Pace] = {}
+        self._spending: dict[str, ExtraSends] = {}
+        self._jobs: dict[int, Job] = {}
+        self._timers: list[tuple[float, int, Job | Attempt]] = []
+        self._clockwork = Clockwork()
+        self._ticked = 0.0
+        self._order = 0
+
+    def __len__(self) -> int:
+        """Return the number of requests under way."""
+        return len(self._jobs)
+
+    def next_wake(self) -> float:
+        """Return when `wake` wants to run."""
+        due = self._ticked + TICK_S
+        return min(due, self._timers[0][0]) if self._timers else due
+
+    def wake(self, now: float) -> list[Action]:
+        """Do what is due."""
+        while self._timers and self._timers[0][0] <= now:
+            _, _, item = heapq.heappop(self._timers)
+            if isinstance(item, Attempt):
+                self._cut_if_open(item, now)
+            elif not item.answered:
+                self._look(item, now)
+        if now - self._ticked >= TICK_S:
+            self._ticked = now
+            self.sender.close_idle(now)
+        return self._take()
+
+    def configure(self, config: Configuration) -> list[Action]:
+        """Put a version of the configuration in force."""
+        self.config = config
+        self._table = RouteTable(config.routes)
+        self.sender.bounds = dict(config.services)
+        kept = {route.name: route for route in config.routes}
+        self._turns = {
+            name: turns
+            for name, turns in self._turns.items()
+            if name in kept and kept[name].split == turns.shares
+        }
+        return self._take()
+
+    def register(
+        self,
+        entries: Mapping[str, TargetEntry],
+        closed: Collection[str],
+        now: float,
+    ) -> list[Action]:
+        """Take the targets that live and the failure domains taken out."""
+        for target in self.fleet.apply(entries, closed, now):
+            self.sender.release(target)
+        return self._take()
+
+    def ask(self, ask: Ask, now: float) -> list[Action]:
+        """Take a caller's request."""
+        if self.config is None:
+            self._refuse(ask, 'no configuration is known yet', now)
+            return self._take()
+        route = self._table.find(ask.host, ask.target)
+        if route is None:
+            self._answer(Answer(ask.req, HTTP_NOT_FOUND, reason='no route'))
+            return self._take()
+        if not ask.request_id:
+            reason = 'the request has no id'
+            self._answer(Answer(ask.req, HTTP_BAD_REQUEST, reason=reason))
+            return self._take()
+        self._begin(ask, route, now)
+        return self._take()
+
+    def caller_left(self, req: int, now: float) -> list[Action]:
+        """Take that a caller hung up before its answer."""
+        job = self._jobs.pop(req, None)
+        if job is not None:
+            self.counts['left'] += 1
+            self._retire(job, now)
+        return self._take()
+
+    def opened(self, conn: int, now: float) -> list[Action]:
+        """Take that a connection stands."""
+        self.sender.opened(conn, now)
+        return self._take()
+
+    def broken(self, number: int, reason: str, now: float) -> list[Action]:
+        """Take that a connection ended, or could not be opened."""
+        conn = self.sender.closed(number)
+        if conn is None:
+            return self._take()
+        attempt = conn.attempt
+        if attempt is not None:
+            self.sender.finish(attempt)
+            conn.target.failed(now)
+            self.counts['attempts_lost'] += 1
+            self._settle(attempt, Outcome('lost', None, reason), now)
+        elif not conn.opened:
+            conn.target.lost(now)
+            self.counts['connects_failed'] += 1
+            self._replace_waiting(conn.target.entry.service, now)
+        return self._take()
+
+    def replied(
+        self,
+        number: int,
+        reply: TargetReply,
+        reusable: bool,
+        keep_for: float | None,
+        now: float,
+    ) -> list[Action]:
+        """Take a whole reply on a connection."""
+        conn = self.sender.conn(number)
+        if conn is None or conn.attempt is None:
+            return self._take()
+        attempt = conn.attempt
+        target = conn.target
+        outcome = outcome_of(reply, attempt.piece.job.ask.request_id)
+        self.sender.finish(attempt)
+        took = now - attempt.sent
+        pace = attempt.piece.job.pace
+        if outcome.kind == 'served':
+            target.answered(took, pace.usual(now), now)
+            pace.took(took, now)
+            self.sender.lane(attempt.piece.service).took(took)
+        elif outcome.kind == 'misdirected':
+            target.gone = True
+        elif outcome.kind == 'not_run':
+            target.full(now)
+        else:
+            target.failed(now)
+        if outcome.kind == 'stray':
+            self.sender.cut(attempt)
+        elif reusable:
+            self.sender.freed(conn, keep_for, now)
+        else:
+            self.sender.closed(number)
+        self._settle(attempt, outcome, now)
+        return self._take()
+
+    def _begin(self, ask: Ask, route: Route, now: float) -> None:
+        config = self.config
+        assert config is not None  # noqa: S101
+        job = Job(ask, route, config.version, self._pace(route), now)
+        spent = self._clockwork.spent(route.name, ask.time_left)
+        job.deadline = deadline_of(route, ask, now)
+        job.aim = aim_of(route, ask, spent, now)
+        services = route.shards or (self._turn(route),)
+        job.pieces = [Piece(job, service) for service in services]
+        hopeless = [piece for piece in job.pieces if self._hopeless(piece, now)]
+        allowed = (1 - route.least_coverage) * len(job.pieces)
+        if len(hopeless) > allowed + 1e-9 or len(hopeless) == len(job.pieces):
+            self._refuse(ask, 'too few targets can serve it now', now, job)
+            return
+        self._jobs[ask.req] = job
+        for piece in job.pieces:
+            if piece in hopeless:
+                piece.over = True
+                self.counts['pieces_hopeless'] += 1
+            else:
+                self._extra(piece.service).request(now)
+                self.sender.place(piece, now)
+        self._arm(job, now)
+
+    def _hopeless(self, piece: Piece, now: float) -> bool:
+        targets = self.sender.available(piece.service, now)
+        if not targets:
+            return True
+        connections = len(targets) * self.sender.room(piece.service)
+        lane = self.sender.lane(piece.service)
+        return now + lane.wait(connections) > piece.job.deadline
+
+    def _arm(self, job: Job, now: float) -> None:
+        due = [job.deadline]
+        if job.aim > now and job.route.shards:
+            due.append(job.aim)
+        if any(not piece.over for piece in job.pieces):
+            patience = job.pace.patience(now)
+            late = job.came + patience
+            due.append(late if late > now else now + patience / 2)
+        self._at(min(due), job)
+
+    def _look(self, job: Job, now: float) -> None:
+        if now >= job.deadline:
+            self._finish(job, now)
+            return
+        if job.route.shards and now >= job.aim and job.enough():
+            self._finish(job, now)
+            return
+        patience = job.pace.patience(now)
+        for piece in job.pieces:
+            if piece.over:
+                continue
+            if piece.waiting:
+                self.sender.place(piece, now, piece.wants_hedge)
+            elif now - piece.open[-1].sent >= patience * 0.999:
+                self._hedge(piece, now)
+        self._arm(job, now)
+
+    def _hedge(self, piece: Piece, now: float) -> None:
+        job = piece.job
+        if not job.route.idempotent or len(piece.open) > 1:
+            return
+        if piece.ran >= job.route.most_targets:
+            return
+        if now + job.pace.usual(now) > job.deadline:
+            return
+        choice = self.sender.best(piece, now)
+        if choice is None or not choice.sound:
+            return
+        if not self._extra(piece.service).spend(now):
+            self.counts['hedges_unaffordable'] += 1
+            return
+        job.hedges += 1
+        self.counts['hedges'] += 1
+        self.sender.place(piece, now, hedge=True)
+
+    def _settle(self, attempt: Attempt, outcome: Outcome, now: float) -> None:
+        """Take the outcome of an attempt for its request."""
+        piece = attempt.piece
+        job = piece.job
+        if job.answered or piece.over:
+            return
+        if outcome.not_run:
+            piece.ran -= 1
+        if outcome.kind == 'served' or (
+            outcome.kind == 'failed' and not job.route.shards
+        ):
+            piece.reply = outcome.reply
+        if outcome.kind == 'served':
+            self._drop_rivals(piece, now)
+            piece.over = True
+        elif not piece.open and not self._again(piece, now):
+            piece.over = True
+            self._note_lost(piece, attempt, outcome, now)
+        if job.over or (
+            piece.over and now >= job.aim and job.route.shards and job.enough()
+        ):
+            self._finish(job, now)
+
+    def _again(self, piece: Piece, now: float) -> bool:
+        """Send a piece once more; return whether it will be."""
+        job = piece.job
+        repeatable = job.route.idempotent or piece.ran == 0
+        if piece.waiting:
+            return True
+        if not repeatable or piece.ran >= job.route.most_targets:
+            return False
+        if now + job.pace.usual(now) > job.deadline:
+            return False
+        choice = self.sender.best(piece, now)
+        if choice is None or not self._extra(piece.service).spend(now):
+            return False
+        self.counts['retries'] += 1
+        self.sender.place(piece, now)
+        return True
+
+    def _drop_rivals(self, piece: Piece, now: float) -> None:
+        """Let other attempts at a piece end, or cut them after a while."""
+        self.sender.lane(piece.service).drop(piece)
+        for attempt in piece.open:
+            self._at(now + CUT_S, attempt)
+
+    def _cut_if_open(self, attempt: Attempt, now: float) -> None:
+        if attempt.number in self.sender.attempts:
+            conn = self.sender.conn(attempt.conn)
+            if conn is not None:
+                conn.target.lost(now)
+            self.counts['attempts_cut'] += 1
+            self.sender.cut(attempt)
+
+    def _replace_waiting(self, service: str, now: float) -> None:
+        for piece in tuple(self.sender.lane(service).waiting):
+            self.sender.place(piece, now, piece.wants_hedge)
+
+    def _finish(self, job: Job, now: float) -> None:
+        """Give the final answer."""
+        if job.route.shards:
+            answer = self._merged(job, now)
+        else:
+            answer = self._passed_on(job, now)
+        self._jobs.pop(job.ask.req, None)
+        self._answer(answer)
+        self._note_end(job, answer, now)
+        self._retire(job, now)
+
+    def _retire(self, job: Job, now: float) -> None:
+        job.answered = True
+        for piece in job.pieces:
+            self._drop_rivals(piece, now)
+
+    def _merged(self, job: Job, now: float) -> Answer:
+        if not job.enough():
+            return self._failure(job, now)
+        replies = [piece.reply for piece in job.pieces if piece.reply]
+        body = greatest((reply.body for reply in replies), job.route.top)
+        missing = len(job.pieces) - len(replies)
+        return Answer(
+            job.ask.req,
+            HTTP_OK,
+            body=body,
+            signatures=tuple(reply.signature for reply in replies),
+            missing=missing,
+        )
+
+    def _passed_on(self, job: Job, now: float) -> Answer:
+        reply = job.pieces[0].reply
+        if reply is None:
+            return self._failure(job, now)
+        return Answer(
+            job.ask.req,
+            reply.status,
+            reply.headers,
+            reply.body,
+            reason='' if reply.status < HTTP_BAD_REQUEST else 'target failed',
+        )
+
+    def _failure(self, job: Job, now: float) -> Answer:
+        if not job.may_have_run:
+            reason = 'no target took it'
+            wait = self._return_after(job, now)
+            return Answer(
+                job.ask.req,
+                HTTP_UNAVAILABLE,
+                retry_after=wait,
+                reason=reason,
+            )
+        late = now >= job.deadline
+        status = HTTP_TIMEOUT if late else HTTP_BAD_GATEWAY
+        reason = 'no answer in time' if late else 'targets failed'
+        return Answer(job.ask.req, status, reason=reason)
+
+    def _refuse(
+        self,
+        ask: Ask,
+        reason: str,
+        now: float,
+        job: Job | None = None,
+    ) -> None:
+        wait = self._return_after(job, now) if job else TICK_S
+        answer = Answer(
+            ask.req,
+            HTTP_UNAVAILABLE,
+            retry_after=wait,
+            reason=reason,
+        )
+        self._answer(answer)
+        self.sender.out.append(
+            Note(
+                events.REFUSED,
+                {
+                    'request': ask.request_id,
+                    'route': job.route.name if job else '',
+                    'version': self.config.version if self.config else 0,
+                    'reason': reason,
+                    'retry_after': wait,
+                },
+            ),
+        )
+
+    def _return_after(self, job: Job, now: float) -> float:
+        lanes = [self.sender.lane(piece.service) for piece in job.pieces]
+        queue = max(
+            lane.wait(self.sender.room(piece.service))
+            for lane, piece in zip(lanes, job.pieces, strict=True)
+        )
+        rests = [
+            target.rests_until - now
+            for piece in job.pieces
+            for target in self.fleet.usable(piece.service)
+        ]
+        free = min((rest for rest in rests if rest > 0), default=0)
+        return retry_after(queue, free, self._rng)
+
+    def _answer(self, answer: Answer) -> None:
+        self.counts[f'answers_{answer.status}'] += 1
+        self.sender.out.append(answer)
+
+    def _note_end(self, job: Job, answer: Answer, now: float) -> None:
+        ended = sum(
+            count
+            for name, count in self.counts.items()
+            if name.startswith('answers_')
+        )
+        plain = not answer.reason and not answer.missing and not job.hedges
+        if plain and ended % LOGGED_SHARE:
+            return
+        number = events.FAILED if answer.reason else events.ANSWERED
+        self.sender.out.append(
+            Note(
+                number,
+                {
+                    'request': job.ask.request_id,
+                    'route': job.route.name,
+                    'version': job.version,
+                    'status': answer.status,
+                    'took_ms': round((now - job.came) * 1000, 1),
+                    'aim_ms': round((job.aim - job.came) * 1000, 1),
+                    'deadline_ms': round((job.deadline - job.came) * 1000, 1),
+                    'covered': job.covered,
+                    'shards': len(job.pieces),
+                    'hedges': job.hedges,
+                    'missing': [
+                        piece.service
+                        for piece in job.pieces
+                        if piece.reply is None
+                    ],
+                    'reason': answer.reason,
+                },
+            ),
+        )
+
+    def _note_lost(
+        self,
+        piece: Piece,
+        attempt: Attempt,
+        outcome: Outcome,
+        now: float,
+    ) -> None:
+        self.sender.out.append(
+            Note(
+                events.PIECE_LOST,
+                {
+                    'request': piece.job.ask.request_id,
+                    'service': piece.service,
+                    'target': attempt.target,
+                    'sends': piece.sends,
+                    'after_ms': round((now - attempt.sent) * 1000, 1),
+                    'outcome': outcome.kind,
+                    'reason': outcome.reason,
+                },
+            ),
+        )
+
+    def _pace(self, route: Route) -> Pace:
+        known = self._paces.get(route.name)
+        if known is None:
+            known = Pace(route.aim)
+            self._paces[route.name] = known
+        return known
+
+    def _turn(self, route: Route) -> str:
+        known = self._turns.get(route.name)
+        if known is None:
+            known = WeightedTurns(route.split, self._rng)
+            self._turns[route.name] = known
+        return known.next()
+
+    def _extra(self, service: str) -> ExtraSends:
+        known = self._spending.get(service)
+        if known is None:
+            known = ExtraSends(self.rule)
+            self._spending[service] = known
+        return known
+
+    def _at(self, due: float, item: Job | Attempt) -> None:
+        self._order += 1
+        heapq.heappush(self._timers, (due, self._order, item))
+
+    def _take(self) -> list[Action]:
+        out = self.sender.out
+        self.sender.out = []
+        return out
--- /dev/null
+++ b/rosemaryweir/gateway/match.py
@@ -0,0 +1,51 @@
+"""Which route a request takes."""
+
+from collections.abc import Iterable
+from itertools import groupby
+from operator import attrgetter
+
+from rosemaryweir.gateway.model import Route
+
+__all__ = ['RouteTable']
+
+
+class RouteTable:
+    """Routes by host, the longest prefix first.
+
+    Parameters
+    ----------
+    routes : iterable of Route
+        The routes of one version of the configuration.
+
+    Examples
+    --------
+    >>> from rosemaryweir.gateway.model import ServiceShare
+    >>> def route(name, prefix):
+    ...     split = (ServiceShare('desk', 1),)
+    ...     return Route(name, 'a.example', prefix, True, 1, 1, 0, 2, split)
+    >>> table = RouteTable([route('all', '/'), route('one', '/one/')])
+    >>> table.find('A.example:80', '/one/x?y=1').name
+    'one'
+    >>> table.find('a.example', '/one').name
+    'all'
+    >>> table.find('b.example', '/one/x') is None
+    True
+    """
+
+    def __init__(self, routes: Iterable[Route]) -> None:
+        ordered = sorted(routes, key=lambda route: route.host.lower())
+        grouped = groupby(ordered, key=attrgetter('host'))
+        self._hosts: dict[str, list[Route]] = {}
+        for host, found in grouped:
+            known = self._hosts.setdefault(host.lower(), [])
+            known.extend(found)
+            known.sort(key=lambda route: len(route.prefix), reverse=True)
+
+    def find(self, host: str, target: str) -> Route | None:
+        """Return the route of a host header and a request target."""
+        path = target.partition('?')[0]
+        routes = self._hosts.get(host.partition(':')[0].lower(), ())
+        return next(
+            (route for route in routes if path.startswith(route.prefix)),
+            None,
+        )
--- /dev/null
+++ b/rosemaryweir/gateway/sender.py
@@ -0,0 +1,251 @@
+"""Pieces onto connections: placing, waiting, sending, cutting."""
+
+from itertools import count
+from random import Random
+
+from rosemaryweir.gateway.action import (
+    Action,
+    CloseConnection,
+    OpenConnection,
+    SendAttempt,
+)
+from rosemaryweir.gateway.fleet import Fleet
+from rosemaryweir.gateway.job import Attempt, Piece
+from rosemaryweir.gateway.lane import Lane
+from rosemaryweir.gateway.model import ServiceBounds
+from rosemaryweir.gateway.placement import Choice, Placement
+from rosemaryweir.gateway.quota import connection_share
+from rosemaryweir.gateway.target import Connection, Target
+
+__all__ = ['Sender']
+
+#: Time for a connection to a target, in seconds: a pause of a target, and
+#: one packet that is sent again.
+CONNECT_S = 0.6
+#: A request that may run only once is sent only on a connection that was
+#: used or opened at most so long ago, in seconds: one that the target has
+#: dropped unseen would leave it unknown whether the request ran.
+FRESH_S = 0.25
+#: Connections that a service is taken to accept when none is known.
+UNKNOWN_BOUNDS = ServiceBounds(connections=1)
+
+
+class Sender:
+    """Connections of one VM to all targets, and what waits for them.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The targets.
+    domain : str
+        Failure domain of the VM.
+    rng : random.Random
+        Source of chance.
+
+    Attributes
+    ----------
+    out : list of Action
+        What is to be done; whoever handles an event takes it.
+    bounds : dict of str to ServiceBounds
+        What targets of each service bear.
+    vms : int
+        VMs that share those bounds.
+    """
+
+    def __init__(self, fleet: Fleet, domain: str, rng: Random) -> None:
+        self.out: list[Action] = []
+        self.bounds: dict[str, ServiceBounds] = {}
+        self.vms = 1
+        self.attempts: dict[int, Attempt] = {}
+        self._fleet = fleet
+        self._placement = Placement(domain, rng)
+        self._conns: dict[int, Connection] = {}
+        self._lanes: dict[str, Lane] = {}
+        self._numbers = count(1)
+
+    def lane(self, service: str) -> Lane:
+        """Return the queue of a service."""
+        known = self._lanes.get(service)
+        if known is None:
+            known = Lane()
+            self._lanes[service] = known
+        return known
+
+    def conn(self, number: int) -> Connection | None:
+        """Return a connection that is open or opening."""
+        return self._conns.get(number)
+
+    def room(self, service: str) -> int:
+        """Return how many connections this VM may have to a target."""
+        bounds = self.bounds.get(service, UNKNOWN_BOUNDS)
+        return connection_share(bounds.connections, self.vms)
+
+    def available(self, service: str, now: float) -> list[Target]:
+        """Return the targets that are expected to answer now."""
+        return [
+            target
+            for target in self._fleet.usable(service)
+            if target.rests_until <= now
+        ]
+
+    def best(self, piece: Piece, now: float) -> Choice | None:
+        """Return the best target for a piece that wasn't sent to it yet."""
+        candidates = [
+            target
+            for target in self._fleet.usable(piece.service)
+            if target.entry.name not in piece.tried
+        ]
+        return self._placement.choose(
+            candidates,
+            self.room(piece.service),
+            now,
+        )
+
+    def place(self, piece: Piece, now: float, hedge: bool = False) -> None:
+        """Send a piece, or let it wait for a connection."""
+        choice = self.best(piece, now)
+        if choice is not None and choice.free:
+            conn = self._take_idle(choice.target, piece, now)
+            if conn is not None:
+                self._send(piece, conn, now, hedge)
+                return
+        if not piece.waiting:
+            self.lane(piece.service).push(piece)
+        piece.wants_hedge = hedge
+        if choice is not None:
+            self._open(choice.target, now)
+
+    def opened(self, number: int, now: float) -> None:
+        """Take that a connection stands."""
+        conn = self._conns.get(number)
+        if conn is not None:
+            conn.target.opened(conn)
+            conn.rest(now, None)
+            self._serve(conn, now)
+
+    def freed(self, conn: Connection, keep_for: float | None, now: float) -> None:
+        """Take that a connection is free again."""
+        conn.rest(now, keep_for)
+        self._serve(conn, now)
+
+    def closed(self, number: int) -> Connection | None:
+        """Forget a connection that ended; return it."""
+        conn = self._conns.pop(number, None)
+        if conn is not None:
+            conn.target.closed(conn)
+        return conn
+
+    def cut(self, attempt: Attempt) -> None:
+        """Drop the connection of an attempt: its target stops the work."""
+        self.finish(attempt)
+        if self.closed(attempt.conn) is not None:
+            self.out.append(CloseConnection(attempt.conn))
+
+    def finish(self, attempt: Attempt) -> None:
+        """Note that an attempt has an outcome."""
+        self.attempts.pop(attempt.number, None)
+        target = self._fleet.get(attempt.target)
+        conn = self._conns.get(attempt.conn)
+        if conn is not None:
+            conn.target.ends(attempt)
+        if target is not None:
+            target.ends(attempt)
+        if attempt in attempt.piece.open:
+            attempt.piece.open.remove(attempt)
+
+    def release(self, target: Target) -> None:
+        """Close the free connections of a target that is given up."""
+        for conn in tuple(target.idle):
+            self._close(conn)
+
+    def close_idle(self, now: float) -> None:
+        """Close connections that their targets are about to close."""
+        stale = [
+            conn
+            for conn in self._conns.values()
+            if conn.opened and conn.attempt is None
+            if conn.usable_until <= now
+        ]
+        for conn in stale:
+            self._close(conn)
+
+    def _serve(self, conn: Connection, now: float) -> None:
+        target = conn.target
+        known = self._fleet.get(target.entry.name)
+        if known is not target or target.entry.leaving:
+            self._close(conn)
+            return
+        piece = self.lane(target.entry.service).next(target, now)
+        if piece is None:
+            target.idle.append(conn)
+        else:
+            self._send(piece, conn, now, piece.wants_hedge)
+
+    def _take_idle(
+        self,
+        target: Target,
+        piece: Piece,
+        now: float,
+    ) -> Connection | None:
+        while target.idle:
+            conn = target.idle.pop()
+            fresh = now - conn.idle_since <= FRESH_S or not conn.carried
+            if conn.usable_until > now and (
+                fresh or piece.job.route.idempotent
+            ):
+                return conn
+            self._close(conn)
+        return None
+
+    def _send(
+        self,
+        piece: Piece,
+        conn: Connection,
+        now: float,
+        hedge: bool,
+    ) -> None:
+        job = piece.job
+        target = conn.target
+        attempt = Attempt(
+            next(self._numbers),
+            piece,
+            target.entry.name,
+            conn.number,
+            now,
+            hedge,
+        )
+        self.attempts[attempt.number] = attempt
+        conn.attempt = attempt
+        conn.carried = True
+        piece.open.append(attempt)
+        piece.tried.add(target.entry.name)
+        piece.sends += 1
+        piece.ran += 1
+        slack = job.pace.patience(now) * max(1.0, target.slowness(now))
+        target.sends(attempt, now + slack)
+        self.out.append(
+            SendAttempt(
+                conn.number,
+                attempt.number,
+                job.ask,
+                target.entry.name,
+                job.deadline - now,
+            ),
+        )
+
+    def _open(self, target: Target, now: float) -> None:
+        service = target.entry.service
+        if target.opening > len(self.lane(service).waiting):
+            return
+        if len(target.connections) >= self.room(service):
+            return
+        conn = Connection(next(self._numbers), target, now)
+        self._conns[conn.number] = conn
+        target.opens(conn, now)
+        self.out.append(
+            OpenConnection(conn.number, target.entry.address, CONNECT_S),
+        )
+
+    def _close(self, conn: Connection) -> None:
+        self.closed(conn.number)
+        self.out.append(CloseConnection(conn.number))
--- /dev/null
+++ b/rosemaryweir/gateway/target.py
@@ -0,0 +1,192 @@
+"""What a VM has seen of one target, and its connections to it."""
+
+from math import exp
+
+from rosemaryweir.gateway.job import Attempt
+from rosemaryweir.gateway.model import TargetEntry
+
+__all__ = ['Connection', 'Target']
+
+#: Weight of a new sample in what is known of speed and failures.
+SPEED_SHARE = 0.2
+FAILURE_SHARE = 0.25
+#: What was seen of a target is half forgotten after about this time without
+#: news, in seconds: a target that was passed over is tried again.
+MEMORY_S = 3.0
+#: Bounds of one sample of the speed, as a multiple of the usual latency.
+SPEED_BOUNDS = (0.25, 12.0)
+#: A connection that is still opening after this time tells that the target
+#: pauses or is unreachable, in seconds.
+OPENING_PATIENCE_S = 0.05
+#: First and longest time without sends after lost connections, in seconds.
+FIRST_REST_S = 0.2
+LONGEST_REST_S = 3.0
+#: Rest after a target said that it is full, in seconds.
+FULL_REST_S = 0.03
+#: Time that an idle connection is used when the target states no limit, s.
+IDLE_S = 4.0
+#: Connections are given up this long before the target would close them, s.
+IDLE_MARGIN_S = 0.5
+NEVER = float('inf')
+
+
+class Connection:
+    """A connection to a target.
+
+    Attributes
+    ----------
+    attempt : Attempt or None
+        What is in flight on it.
+    idle_since : float
+        When it became free, or was opened.
+    usable_until : float
+        When the target may close it for being idle.
+    carried : bool
+        Whether it ever carried a request.
+    """
+
+    __slots__ = (
+        'attempt',
+        'carried',
+        'idle_since',
+        'number',
+        'opened',
+        'target',
+        'usable_until',
+    )
+
+    def __init__(self, number: int, target: 'Target', now: float) -> None:
+        self.number = number
+        self.target = target
+        self.attempt: Attempt | None = None
+        self.idle_since = now
+        self.usable_until = NEVER
+        self.opened = False
+        self.carried = False
+
+    def rest(self, now: float, keep_for: float | None) -> None:
+        """Note that it is free; the target keeps it for so many seconds."""
+        self.attempt = None
+        self.idle_since = now
+        kept = IDLE_S if keep_for is None else keep_for
+        self.usable_until = now + max(kept - IDLE_MARGIN_S, kept / 2)
+
+
+class Target:
+    """One target: its entry, connections and what its answers tell.
+
+    Parameters
+    ----------
+    entry : TargetEntry
+        As it registered itself.
+    now : float
+        Present time.
+
+    Attributes
+    ----------
+    connections : dict of int to Connection
+        All that are open or opening.
+    idle : list of Connection
+        Those that are free, the last used one last.
+    gone : bool
+        Whether another incarnation was found at its address.
+    rests_until : float
+        Until when nothing is sent.
+    """
+
+    def __init__(self, entry: TargetEntry, now: float) -> None:
+        self.entry = entry
+        self.connections: dict[int, Connection] = {}
+        self.idle: list[Connection] = []
+        self.gone = False
+        self.rests_until = 0.0
+        self.cold_until = now + entry.cold_for
+        self._in_flight: dict[int, float] = {}
+        self._opening: dict[int, float] = {}
+        self._speed = 1.0
+        self._failing = 0.0
+        self._seen = now
+        self._losses = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Attempts without an outcome."""
+        return len(self._in_flight)
+
+    @property
+    def opening(self) -> int:
+        """Connections that are being opened."""
+        return len(self._opening)
+
+    def stalled(self, now: float) -> bool:
+        """Return whether it owes an answer that is overdue."""
+        late = min(self._in_flight.values(), default=NEVER)
+        begun = min(self._opening.values(), default=NEVER)
+        return late < now or begun + OPENING_PATIENCE_S < now
+
+    def slowness(self, now: float) -> float:
+        """Return its latency as a multiple of the usual one."""
+        return 1 + (self._speed - 1) * self._memory(now)
+
+    def failing(self, now: float) -> float:
+        """Return the share of its answers that are failures."""
+        return self._failing * self._memory(now)
+
+    def opens(self, conn: Connection, now: float) -> None:
+        """Note a connection that is being opened."""
+        self.connections[conn.number] = conn
+        self._opening[conn.number] = now
+
+    def opened(self, conn: Connection) -> None:
+        """Note that a connection stands."""
+        self._opening.pop(conn.number, None)
+        conn.opened = True
+
+    def closed(self, conn: Connection) -> None:
+        """Forget a connection."""
+        self.connections.pop(conn.number, None)
+        self._opening.pop(conn.number, None)
+        if conn in self.idle:
+            self.idle.remove(conn)
+
+    def sends(self, attempt: Attempt, late_at: float) -> None:
+        """Note an attempt, and when its answer is overdue."""
+        self._in_flight[attempt.number] = late_at
+
+    def ends(self, attempt: Attempt) -> None:
+        """Note that an attempt has an outcome, or that it was cut."""
+        self._in_flight.pop(attempt.number, None)
+
+    def answered(self, latency: float, usual: float, now: float) -> None:
+        """Take a good answer: its latency and the usual one, in seconds."""
+        least, most = SPEED_BOUNDS
+        sample = min(max(latency / max(usual, least / 1000), least), most)
+        speed = self.slowness(now)
+        self._failing = self.failing(now) * (1 - FAILURE_SHARE)
+        self._speed = speed + (sample - speed) * SPEED_SHARE
+        self._seen = now
+        self._losses = 0
+
+    def failed(self, now: float) -> None:
+        """Take an answer that is a failure, or none."""
+        speed = self.slowness(now)
+        failing = self.failing(now)
+        self._failing = failing + (1 - failing) * FAILURE_SHARE
+        self._speed = speed
+        self._seen = now
+
+    def full(self, now: float) -> None:
+        """Take that it has no room at the moment."""
+        self.rests_until = max(self.rests_until, now + FULL_REST_S)
+
+    def lost(self, now: float) -> None:
+        """Take that it can't be reached: rest, longer each time."""
+        self.failed(now)
+        if now < self.rests_until:
+            return
+        rest = min(FIRST_REST_S * 2**self._losses, LONGEST_REST_S)
+        self._losses += 1
+        self.rests_until = now + rest
+
+    def _memory(self, now: float) -> float:
+        return exp((self._seen - now) / MEMORY_S)
--- /dev/null
+++ b/rosemaryweir/objectstore/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's object API over HTTP."""
--- a/rosemaryweir/platform/client.py
+++ b/rosemaryweir/objectstore/client.py
@@ -27,8 +27,8 @@
     StoreReply,
 )
 from rosemaryweir.node.ports import StoreCall
-from rosemaryweir.platform.watch import Watcher
-from rosemaryweir.platform.wire import (
+from rosemaryweir.objectstore.watch import Watcher
+from rosemaryweir.objectstore.wire import (
     OBJECTS_PATH,
     VERSION_HEADER,
     VMS_PATH,
--- a/rosemaryweir/platform/tests/test_client.py
+++ b/rosemaryweir/objectstore/tests/test_client.py
@@ -20,8 +20,8 @@
     WatchEnded,
     WatchEvent,
 )
-from rosemaryweir.platform import client, watch
-from rosemaryweir.platform.client import StoreClient
+from rosemaryweir.objectstore import client, watch
+from rosemaryweir.objectstore.client import StoreClient
 from rosemaryweir.standin.store_server import StoreServer
 
 
--- a/rosemaryweir/platform/tests/test_wire.py
+++ b/rosemaryweir/objectstore/tests/test_wire.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from rosemaryweir.node.event import StoreObject
-from rosemaryweir.platform.wire import (
+from rosemaryweir.objectstore.wire import (
     object_path,
     objects_json,
     parse_objects,
--- a/rosemaryweir/platform/watch.py
+++ b/rosemaryweir/objectstore/watch.py
@@ -5,7 +5,7 @@
 
 from rosemaryweir.node.action import StoreWatch
 from rosemaryweir.node.event import Event, WatchEnded, WatchEvent
-from rosemaryweir.platform.wire import parse_objects, watch_path
+from rosemaryweir.objectstore.wire import parse_objects, watch_path
 from rosemaryweir.transport.http_client import Channel, HttpReply, open_channel
 
 __all__ = ['Watcher']
--- /dev/null
+++ b/rosemaryweir/platform/__main__.py
@@ -0,0 +1,51 @@
+"""The program of a VM: ``python -m rosemaryweir.platform``."""
+
+import asyncio
+import gc
+import sys
+
+import fire
+
+from rosemaryweir.daemons.logs import configure_logs
+from rosemaryweir.exception import InvalidInput
+from rosemaryweir.platform.settings import VmSettings, read_settings
+from rosemaryweir.platform.vm import Vm, settings_path
+from rosemaryweir.telemetry.bounded import line_writer
+
+EXIT_FINDINGS = 2
+
+
+def serve(settings: str = '', metrics_port: int = 0, check: bool = False) -> None:
+    """Run the query tier on this VM.
+
+    Parameters
+    ----------
+    settings : str
+        Path of the settings file; the platform names it in the environment.
+    metrics_port : int
+        Port of the metrics page; none is served without one.
+    check : bool
+        Only check the settings; all findings are printed together.
+    """
+    path = settings or settings_path()
+    try:
+        found = read_settings(path)
+    except InvalidInput as exc:
+        sys.stderr.write(f'{path}:\n{exc}\n')
+        sys.exit(EXIT_FINDINGS)
+    if check:
+        sys.stdout.write(f'{path}: no findings\n')
+        return
+    configure_logs(stream=line_writer())
+    # What was made at start lives on: it need not be looked through again.
+    gc.collect()
+    gc.freeze()
+    asyncio.run(_run(found, path, metrics_port))
+
+
+async def _run(settings: VmSettings, path: str, metrics_port: int) -> None:
+    await Vm(settings, path, metrics_port).run()
+
+
+if __name__ == '__main__':
+    fire.Fire(serve)
--- /dev/null
+++ b/rosemaryweir/presence/__init__.py
@@ -0,0 +1,1 @@
+"""Which VMs there are: heartbeats between them, by datagram."""
--- a/rosemaryweir/standin/store_server.py
+++ b/rosemaryweir/standin/store_server.py
@@ -7,7 +7,7 @@
 from typing import cast
 from urllib.parse import parse_qs
 
-from rosemaryweir.platform.wire import (
+from rosemaryweir.objectstore.wire import (
     OBJECTS_PATH,
     VERSION_HEADER,
     VMS_PATH,
--- a/rosemaryweir/transport/exchange.py
+++ b/rosemaryweir/transport/exchange.py
@@ -1,7 +1,7 @@
 """One HTTP request on a server and the means to answer it."""
 
 import asyncio
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any, NamedTuple, Protocol
 
 import msgspec
@@ -25,17 +25,19 @@
     path: str
     headers: Mapping[str, str]
     body: bytes
+    raw_headers: Sequence[tuple[bytes, bytes]] = ()
 
 
 class Replier(Protocol):
     """The connection that an exchange answers on."""
 
     transport: asyncio.Transport
+    requests: int
 
     def answer(
         self,
         status: int,
-        headers: Iterable[tuple[str, str]],
+        headers: Iterable[tuple[str | bytes, str | bytes]],
         body: bytes,
     ) -> None:
         """Write a whole answer."""
@@ -78,7 +80,7 @@
         self,
         status: int,
         body: bytes,
-        headers: Iterable[tuple[str, str]] = (),
+        headers: Iterable[tuple[str | bytes, str | bytes]] = (),
     ) -> None:
         """Answer, unless the peer is gone or was answered."""
         if not self.done:
--- a/rosemaryweir/transport/http_client.py
+++ b/rosemaryweir/transport/http_client.py
@@ -5,7 +5,7 @@
 """
 
 import asyncio
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple, Protocol
 
 import h11
@@ -22,6 +22,7 @@
     status: int
     headers: Mapping[str, str]
     body: bytes
+    raw_headers: Sequence[tuple[bytes, bytes]] = ()
 
 
 class ChannelListener(Protocol):
@@ -102,16 +103,23 @@
         streaming: bool = False,
     ) -> None:
         """Send a request; the channel must be open and free."""
-        self.busy = True
         self._streaming = streaming
+        own = (('host', self._host), ('content-length', str(len(body))))
+        self.forward(method, path, (*own, *headers), body)
+
+    def forward(
+        self,
+        method: str,
+        path: str,
+        headers: Iterable[tuple[str | bytes, str | bytes]],
+        body: bytes,
+    ) -> None:
+        """Send a request whose headers are given whole."""
+        self.busy = True
         request = h11.Request(
             method=method,
             target=path,
-            headers=[
-                ('host', self._host),
-                ('content-length', str(len(body))),
-                *headers,
-            ],
+            headers=list(headers),
         )
         self.transport.write(
             b''.join(
@@ -178,6 +186,7 @@
                 for key, value in head.headers
             },
             bytes(self._body),
+            list(head.headers),
         )
         states = {self._http.our_state, self._http.their_state}
         unasked = bool(self._http.trailing_data[0])
--- a/rosemaryweir/transport/http_server.py
+++ b/rosemaryweir/transport/http_server.py
@@ -45,7 +45,7 @@
 
     def __init__(self, server: 'HttpServer') -> None:
         self._server = server
-        self._limits = server.limits
+        self.requests = 0
         self._http = h11.Connection(
             h11.SERVER,
             max_incomplete_event_size=server.limits.header_bytes,
@@ -54,10 +54,16 @@
         self._request: h11.Request | None = None
         self._body = bytearray()
         self._timer: asyncio.TimerHandle | None = None
+        self._armed_at = float(0)
         self._ahead = 0
         self._writable = True
         self._refused = False
 
+    @property
+    def _limits(self) -> HttpLimits:
+        # The server's limits may change while the connection stands.
+        return self._server.limits
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to wait for a request."""
         assert isinstance(transport, asyncio.Transport)  # noqa: S101
@@ -106,7 +112,7 @@
     def answer(
         self,
         status: int,
-        headers: Iterable[tuple[str, str]],
+        headers: Iterable[tuple[str | bytes, str | bytes]],
         body: bytes,
     ) -> None:
         """Write a whole answer and take the next request."""
@@ -147,6 +153,12 @@
             self.transport.write(self._http.send(h11.EndOfMessage()))
             self.transport.close()
 
+    @property
+    def idle(self) -> bool:
+        """Whether no request is under way, nor a part of one has come."""
+        begun = self._request is not None or self._http.trailing_data[0]
+        return self._exchange is None and not begun
+
     def _receive(self, data: bytes | None) -> None:
         try:
             if data is not None:
@@ -196,6 +208,7 @@
         assert request is not None  # noqa: S101
         self._request = None
         self._ahead = 0
+        self.requests += 1
         self._disarm()
         self._exchange = Exchange(_whole(request, bytes(self._body)), self)
         self._server.handler(self._exchange)
@@ -240,9 +253,16 @@
         begun = self._request is not None or self._http.trailing_data[0]
         if begun:
             self._fail(HTTP_TIMEOUT, 'deadline', 'the request came too slowly')
+        elif self._idle_longer():
+            self._arm(self._limits.idle_seconds, self._slow)
         else:
             self.transport.close()
 
+    def _idle_longer(self) -> bool:
+        """Return whether the limit on idle time was raised meanwhile."""
+        waited = asyncio.get_running_loop().time() - self._armed_at
+        return waited < self._limits.idle_seconds and self.requests > 0
+
     def _fail(self, status: int, reason: str, detail: str) -> None:
         self._disarm()
         body = encode_json(refusal_body(reason, detail))
@@ -273,6 +293,7 @@
     def _arm(self, seconds: float, call: Callable[[], None]) -> None:
         self._disarm()
         loop = asyncio.get_running_loop()
+        self._armed_at = loop.time()
         self._timer = loop.call_later(seconds, call)
 
     def _disarm(self) -> None:
@@ -324,6 +345,12 @@
         """Drop a closed connection."""
         self.connections.discard(conn)
 
+    def close_idle(self) -> None:
+        """Close the connections on which no request is under way."""
+        for conn in tuple(self.connections):
+            if conn.idle:
+                conn.transport.close()
+
     def abort_all(self) -> None:
         """Drop every connection without a word."""
         for conn in tuple(self.connections):
@@ -367,4 +394,5 @@
             for key, value in request.headers
         },
         body,
+        list(request.headers),
     )
