A piece that is sent from the queue's timer leaves the queue

Ruled out: a retry after a lost reply (no connection broke). The new test failed with a request run twice, and passes.

--- a/rosemaryweir/gateway/sender.py
+++ b/rosemaryweir/gateway/sender.py
@@ -107,6 +107,7 @@
         if choice is not None and choice.free:
             conn = self._take_idle(choice.target, piece, now)
             if conn is not None:
+                self.lane(piece.service).drop(piece)
                 self._send(piece, conn, now, hedge)
                 return
         if not piece.waiting:
