Targets that turn work away are avoided, hopeless queries fail at once, two VMs follow each kind

Cause: a refusal cost a target 30 ms of rest and no mark, and a query that could no longer reach its least coverage waited for its other shards before it failed. Ruled out: the budget alone (a third of it was left on shards with a sound target). Tests replay both loads.

--- a/rosemaryweir/catalog/relay.py
+++ b/rosemaryweir/catalog/relay.py
@@ -9,7 +9,7 @@
 #: Time that the own watch has to tell what another VM knows already, in s.
 PATIENCE_S = 0.3
 #: Time before the same kind is asked for again, in seconds.
-AGAIN_S = 0.5
+AGAIN_S = 0.2
 
 
 class RelayAnswer(NamedTuple):
@@ -58,13 +58,22 @@
     True
     >>> behind.ask('targets', known=5, newest=6, now=0.5)
     False
+    >>> behind.ask('config', 5, 6, now=0.0, following=False)
+    True
     """
 
     def __init__(self) -> None:
         self._since: dict[str, float] = {}
         self._asked: dict[str, float] = {}
 
-    def ask(self, kind: str, known: int, newest: int, now: float) -> bool:
+    def ask(
+        self,
+        kind: str,
+        known: int,
+        newest: int,
+        now: float,
+        following: bool = True,
+    ) -> bool:
         """Return whether to ask the VM that knows of a newer change.
 
         Parameters
@@ -77,13 +86,16 @@
             Newest change that the other VM knows.
         now : float
             Present time.
+        following : bool
+            Whether the store is about to tell this VM as well.
         """
         if newest <= known:
             self._since.pop(kind, None)
             return False
         since = self._since.setdefault(kind, now)
         waited = now - since >= PATIENCE_S or not known
-        if not waited or now < self._asked.get(kind, float('-inf')) + AGAIN_S:
+        due = waited or not following
+        if not due or now < self._asked.get(kind, float('-inf')) + AGAIN_S:
             return False
         self._asked[kind] = now
         return True
--- a/rosemaryweir/daemons/logs.py
+++ b/rosemaryweir/daemons/logs.py
@@ -3,7 +3,7 @@
 import logging
 import sys
 from collections.abc import Mapping
-from typing import Any, Protocol, TextIO, cast
+from typing import Any, Protocol, cast
 
 import structlog
 
@@ -25,7 +25,7 @@
 
 def configure_logs(
     level: str = DEFAULT_LEVEL,
-    stream: TextIO | None = None,
+    stream: Any = None,
 ) -> None:
     """Send log events of a level and above to a stream.
 
--- a/rosemaryweir/gateway/action.py
+++ b/rosemaryweir/gateway/action.py
@@ -128,6 +128,10 @@
         Seconds after which the caller should come back.
     reason : str
         Why there is no success; empty for one.
+    route : str
+        Name of the route; empty without one.
+    took : float
+        Seconds since the request came.
     """
 
     req: int
@@ -138,6 +142,8 @@
     missing: int = 0
     retry_after: float | None = None
     reason: str = ''
+    route: str = ''
+    took: float = 0.0
 
 
 class Note(NamedTuple):
--- a/rosemaryweir/gateway/fleet.py
+++ b/rosemaryweir/gateway/fleet.py
@@ -1,6 +1,6 @@
 """The targets of each service, as far as they may be used."""
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Mapping
 
 from rosemaryweir.gateway.model import TargetEntry
 from rosemaryweir.gateway.target import Target
@@ -16,10 +16,6 @@
         self._services: dict[str, list[Target]] = {}
         self._closed: frozenset[str] = frozenset()
 
-    def __iter__(self) -> Iterable[Target]:  # type: ignore[override]
-        """Iterate over all targets."""
-        return iter(tuple(self._targets.values()))  # type: ignore[return-value]
-
     def get(self, name: str) -> Target | None:
         """Return a target by its name."""
         return self._targets.get(name)
--- a/rosemaryweir/gateway/gateway.py
+++ b/rosemaryweir/gateway/gateway.py
@@ -44,6 +44,8 @@
 HTTP_BAD_GATEWAY = 502
 HTTP_UNAVAILABLE = 503
 HTTP_TIMEOUT = 504
+#: Sends of one piece, those included that were turned away.
+MOST_SENDS = 5
 #: One success in so many is logged.
 LOGGED_SHARE = 50
 
@@ -302,6 +304,8 @@
             return
         if outcome.not_run:
             piece.ran -= 1
+            # It may be asked again: it did nothing yet.
+            piece.tried.discard(attempt.target)
         if outcome.kind == 'served' or (
             outcome.kind == 'failed' and not job.route.shards
         ):
@@ -312,17 +316,27 @@
         elif not piece.open and not self._again(piece, now):
             piece.over = True
             self._note_lost(piece, attempt, outcome, now)
-        if job.over or (
-            piece.over and now >= job.aim and job.route.shards and job.enough()
-        ):
+        if self._decided(job, now):
             self._finish(job, now)
 
+    def _decided(self, job: Job, now: float) -> bool:
+        """Return whether waiting longer would change nothing for the better.
+
+        A query that can't reach its least coverage any more fails at once:
+        its caller has time left for another try.
+        """
+        if job.over or not job.attainable():
+            return True
+        return bool(job.route.shards) and now >= job.aim and job.enough()
+
     def _again(self, piece: Piece, now: float) -> bool:
         """Send a piece once more; return whether it will be."""
         job = piece.job
         repeatable = job.route.idempotent or piece.ran == 0
         if piece.waiting:
             return True
+        if piece.sends >= MOST_SENDS:
+            return False
         if not repeatable or piece.ran >= job.route.most_targets:
             return False
         if now + job.pace.usual(now) > job.deadline:
@@ -359,7 +373,8 @@
         else:
             answer = self._passed_on(job, now)
         self._jobs.pop(job.ask.req, None)
-        self._answer(answer)
+        name, took = job.route.name, now - job.came
+        self._answer(answer._replace(route=name, took=took))
         self._note_end(job, answer, now)
         self._retire(job, now)
 
--- a/rosemaryweir/gateway/job.py
+++ b/rosemaryweir/gateway/job.py
@@ -149,3 +149,11 @@
         """Return whether the answer would be a success."""
         share = self.covered / len(self.pieces)
         return self.covered > 0 and share >= self.route.least_coverage
+
+    def attainable(self) -> bool:
+        """Return whether enough pieces may still get a reply."""
+        possible = sum(
+            piece.reply is not None or not piece.over for piece in self.pieces
+        )
+        share = possible / len(self.pieces)
+        return possible > 0 and share >= self.route.least_coverage
--- a/rosemaryweir/gateway/lane.py
+++ b/rosemaryweir/gateway/lane.py
@@ -52,8 +52,7 @@
         fits = [
             piece
             for piece in self.waiting
-            if target.entry.name not in piece.tried
-            and piece.job.deadline > now
+            if target.entry.name not in piece.tried and piece.job.deadline > now
         ]
         if not fits:
             return None
--- a/rosemaryweir/gateway/match.py
+++ b/rosemaryweir/gateway/match.py
@@ -1,8 +1,6 @@
 """Which route a request takes."""
 
 from collections.abc import Iterable
-from itertools import groupby
-from operator import attrgetter
 
 from rosemaryweir.gateway.model import Route
 
@@ -33,13 +31,9 @@
     """
 
     def __init__(self, routes: Iterable[Route]) -> None:
-        ordered = sorted(routes, key=lambda route: route.host.lower())
-        grouped = groupby(ordered, key=attrgetter('host'))
         self._hosts: dict[str, list[Route]] = {}
-        for host, found in grouped:
-            known = self._hosts.setdefault(host.lower(), [])
-            known.extend(found)
-            known.sort(key=lambda route: len(route.prefix), reverse=True)
+        for route in sorted(routes, key=_longest_first):
+            self._hosts.setdefault(route.host.lower(), []).append(route)
 
     def find(self, host: str, target: str) -> Route | None:
         """Return the route of a host header and a request target."""
@@ -49,3 +43,7 @@
             (route for route in routes if path.startswith(route.prefix)),
             None,
         )
+
+
+def _longest_first(route: Route) -> int:
+    return -len(route.prefix)
--- a/rosemaryweir/gateway/placement.py
+++ b/rosemaryweir/gateway/placement.py
@@ -18,6 +18,8 @@
 OPEN_COST = 0.3
 #: Cost of a target all of whose answers are failures.
 FAILURE_COST = 12.0
+#: Cost of a target that said a moment ago that it is full.
+FULL_COST = 3.0
 #: Cost of a target that owes an overdue answer, or rests.
 STALLED_COST = 100.0
 #: Random part, so that VMs don't all choose the same target.
@@ -60,6 +62,8 @@
         cost += JITTER * self._rng.random()
         if target.entry.domain != self._domain:
             cost += FAR_COST
+        if now < target.full_until:
+            cost += FULL_COST
         if now < target.rests_until or target.stalled(now):
             cost += STALLED_COST
         return cost
@@ -88,7 +92,9 @@
                 continue
             if now < target.rests_until and target.in_flight == 0:
                 continue
-            cost = self.cost(target, now) + (0 if free else OPEN_COST)
+            cost = self.cost(target, now)
+            if not free:
+                cost += OPEN_COST
             if best is None or cost < best.cost:
                 best = Choice(cost, target, free)
         return best
--- a/rosemaryweir/gateway/sender.py
+++ b/rosemaryweir/gateway/sender.py
@@ -124,7 +124,9 @@
             conn.rest(now, None)
             self._serve(conn, now)
 
-    def freed(self, conn: Connection, keep_for: float | None, now: float) -> None:
+    def freed(
+        self, conn: Connection, keep_for: float | None, now: float
+    ) -> None:
         """Take that a connection is free again."""
         conn.rest(now, keep_for)
         self._serve(conn, now)
@@ -164,8 +166,7 @@
         stale = [
             conn
             for conn in self._conns.values()
-            if conn.opened and conn.attempt is None
-            if conn.usable_until <= now
+            if conn.idle and conn.usable_until <= now
         ]
         for conn in stale:
             self._close(conn)
--- a/rosemaryweir/gateway/spending.py
+++ b/rosemaryweir/gateway/spending.py
@@ -76,7 +76,7 @@
         return self._rule.allowance(self._requests) - self._extras
 
     def spend(self, now: float) -> bool:
-        """Count an extra send; return False, counting none, without allowance."""
+        """Count an extra send; return False where none is left."""
         slot = self._slot(now)
         if self._extras + 1 > self._rule.allowance(self._requests):
             return False
--- a/rosemaryweir/gateway/target.py
+++ b/rosemaryweir/gateway/target.py
@@ -21,8 +21,9 @@
 #: First and longest time without sends after lost connections, in seconds.
 FIRST_REST_S = 0.2
 LONGEST_REST_S = 3.0
-#: Rest after a target said that it is full, in seconds.
-FULL_REST_S = 0.03
+#: A target that said it is full is passed over for this long where another
+#: one has room, in seconds.
+FULL_S = 0.03
 #: Time that an idle connection is used when the target states no limit, s.
 IDLE_S = 4.0
 #: Connections are given up this long before the target would close them, s.
@@ -64,6 +65,11 @@
         self.opened = False
         self.carried = False
 
+    @property
+    def idle(self) -> bool:
+        """Whether it stands and carries nothing."""
+        return self.opened and self.attempt is None
+
     def rest(self, now: float, keep_for: float | None) -> None:
         """Note that it is free; the target keeps it for so many seconds."""
         self.attempt = None
@@ -92,6 +98,8 @@
         Whether another incarnation was found at its address.
     rests_until : float
         Until when nothing is sent.
+    full_until : float
+        Until when it is taken to have no room.
     """
 
     def __init__(self, entry: TargetEntry, now: float) -> None:
@@ -100,6 +108,7 @@
         self.idle: list[Connection] = []
         self.gone = False
         self.rests_until = 0.0
+        self.full_until = 0.0
         self.cold_until = now + entry.cold_for
         self._in_flight: dict[int, float] = {}
         self._opening: dict[int, float] = {}
@@ -176,8 +185,13 @@
         self._seen = now
 
     def full(self, now: float) -> None:
-        """Take that it has no room at the moment."""
-        self.rests_until = max(self.rests_until, now + FULL_REST_S)
+        """Take that it has no room at the moment.
+
+        It counts as a failure as well: one that turns away many requests
+        though it has little to do is no better than one that fails them.
+        """
+        self.failed(now)
+        self.full_until = now + FULL_S
 
     def lost(self, now: float) -> None:
         """Take that it can't be reached: rest, longer each time."""
--- a/rosemaryweir/gateway/tests/rig.py
+++ b/rosemaryweir/gateway/tests/rig.py
@@ -101,9 +101,7 @@
         self.register()
 
     def register(self, closed=()):
-        entries = {
-            name: target.entry for name, target in self.targets.items()
-        }
+        entries = {name: target.entry for name, target in self.targets.items()}
         self.do(self.gateway.register(entries, closed, self.now))
 
     def of(self, service):
--- a/rosemaryweir/gateway/tests/test_gateway.py
+++ b/rosemaryweir/gateway/tests/test_gateway.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 import pytest
+
 from rosemaryweir.gateway.tests.rig import Rig, order_route, query_route
 
 SHARDS = tuple(f's{number}' for number in range(10))
@@ -167,3 +168,33 @@
     rig = query_rig()
     req = rig.ask('/other/1')
     assert rig.answers[req][1].status == 404
+
+
+def test_a_target_that_turns_away_most_requests_is_avoided():
+    # Load pattern: two of three targets of every shard refuse half of what
+    # they get though they are idle.
+    rig = query_rig()
+    for name in SHARDS:
+        rig.targets[f'{name}-0'].mode = 'full'
+    warm(rig)
+    before = sum(len(rig.targets[f'{name}-0'].arrivals) for name in SHARDS)
+    warm(rig)
+    after = sum(len(rig.targets[f'{name}-0'].arrivals) for name in SHARDS)
+    assert after - before < 60 * 10 * 0.15
+
+
+def test_a_query_that_cannot_be_covered_fails_at_once():
+    rig = query_rig()
+    warm(rig)
+    for name in SHARDS[:4]:
+        for target in rig.of(name):
+            target.mode = 'full'
+    for name in SHARDS[4:]:
+        for target in rig.of(name):
+            target.work = 0.1
+    req = rig.ask()
+    came = rig.now
+    rig.run(1)
+    when, answer = rig.answers[req]
+    assert answer.status in {502, 503}
+    assert when - came < 0.05
--- a/rosemaryweir/platform/__main__.py
+++ b/rosemaryweir/platform/__main__.py
@@ -15,7 +15,9 @@
 EXIT_FINDINGS = 2
 
 
-def serve(settings: str = '', metrics_port: int = 0, check: bool = False) -> None:
+def serve(
+    settings: str = '', metrics_port: int = 0, check: bool = False
+) -> None:
     """Run the query tier on this VM.
 
     Parameters
--- a/rosemaryweir/platform/callers.py
+++ b/rosemaryweir/platform/callers.py
@@ -140,5 +140,3 @@
         yield words.MISSING, str(answer.missing)
     if answer.retry_after is not None:
         yield words.RETRY_AFTER, f'{answer.retry_after:.3f}'
-
-
--- a/rosemaryweir/platform/store.py
+++ b/rosemaryweir/platform/store.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import random
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
 from typing import Any, NamedTuple, Protocol
 from urllib.parse import quote, urlencode
 
@@ -31,6 +32,8 @@
 #: a change has to be in force.
 WATCH_S = 2.0
 WATCH_MARGIN_S = 0.5
+#: Time after which a VM that doesn't follow looks whether it has to, in s.
+ASIDE_S = 0.2
 #: Pauses after failed calls, in seconds.
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
@@ -151,8 +154,17 @@
         """Return the revision up to which all is known."""
 
 
+@contextmanager
+def _one_link(address: str) -> Iterator[StoreLink]:
+    link = StoreLink(address)
+    try:
+        yield link
+    finally:
+        link.drop()
+
+
 class Follower:
-    """Lists one kind of object and watches it.
+    """Lists one kind of object, and watches it while this VM is to.
 
     Parameters
     ----------
@@ -178,7 +190,10 @@
                 if fresh or not self._listener.known_up_to(self._kind):
                     await self._list()
                     fresh = False
-                await self._watch()
+                if self._listener.should_follow(self._kind):
+                    await self._watch()
+                else:
+                    await asyncio.sleep(ASIDE_S)
                 self._failures = 0
             except StoreError as exc:
                 fresh = fresh or exc.status == HTTP_GONE
@@ -265,15 +280,12 @@
     StoreError
         If the store did not confirm it.
     """
-    link = StoreLink(address)
     content = {'meta': {'name': name}, 'spec': spec}
-    try:
+    with _one_link(address) as link:
         reply = await link.call('POST', f'/objects/{kind}', content)
         if reply.status == HTTP_CONFLICT:
             path = f'/objects/{kind}/{quote(name)}'
             await link.call('PUT', path, content)
-    finally:
-        link.drop()
 
 
 async def delete_own(address: str, kind: str, name: str) -> None:
@@ -284,11 +296,8 @@
     StoreError
         If the store did not confirm it.
     """
-    link = StoreLink(address)
-    try:
+    with _one_link(address) as link:
         await link.call('DELETE', f'/objects/{kind}/{quote(name)}')
-    finally:
-        link.drop()
 
 
 async def list_own(address: str, kind: str) -> list[Change]:
@@ -299,9 +308,6 @@
     StoreError
         If the store did not answer.
     """
-    link = StoreLink(address)
-    try:
+    with _one_link(address) as link:
         page = await _page(link, kind, '')
-    finally:
-        link.drop()
     return page.changes
--- a/rosemaryweir/platform/targets.py
+++ b/rosemaryweir/platform/targets.py
@@ -154,7 +154,9 @@
         for name in content.split(b',')
     }
     dropped = words.ALWAYS_DROPPED | named
-    yield from ((key, content) for key, content in headers if key not in dropped)
+    yield from (
+        (key, content) for key, content in headers if key not in dropped
+    )
 
 
 def _kept_for(reply: HttpReply) -> float | None:
--- /dev/null
+++ b/rosemaryweir/platform/traffic.py
@@ -0,0 +1,149 @@
+"""The gateway with its ports: callers on one side, targets on the other."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from random import Random
+from typing import Any
+
+from rosemaryweir.gateway.action import (
+    Action,
+    Answer,
+    Ask,
+    CloseConnection,
+    Note,
+    OpenConnection,
+    SendAttempt,
+    TargetReply,
+)
+from rosemaryweir.gateway.gateway import Gateway
+from rosemaryweir.gateway.spending import SpendingRule
+from rosemaryweir.platform.belief import Belief
+from rosemaryweir.platform.callers import CallerFront
+from rosemaryweir.platform.settings import VmSettings
+from rosemaryweir.platform.targets import TargetLinks
+from rosemaryweir.telemetry.histogram import HistogramSet
+from rosemaryweir.transport.limits import HttpLimits
+
+__all__ = ['Traffic']
+
+#: Largest body of a caller before a configuration sets the limit, in bytes.
+FIRST_BODY_BYTES = 262_144
+MS_PER_SECOND = 1000
+NEVER = float('inf')
+
+Write = Callable[[int, Mapping[str, Any]], None]
+
+
+class Traffic:
+    """Carries out what the gateway decides.
+
+    Parameters
+    ----------
+    settings : VmSettings
+        Checked settings.
+    write : callable
+        Takes log events by number.
+    rng : random.Random
+        Source of chance.
+
+    Attributes
+    ----------
+    latencies : HistogramSet
+        Latency of answers by route and status.
+    """
+
+    def __init__(self, settings: VmSettings, write: Write, rng: Random) -> None:
+        rule = SpendingRule(
+            settings.extra_ratio,
+            settings.extra_slack,
+            settings.extra_window,
+        )
+        limits = HttpLimits(body_bytes=FIRST_BODY_BYTES)
+        self.latencies = HistogramSet()
+        self.gateway = Gateway(settings.domain, rule, rng)
+        self.front = CallerFront(self._ask, self._left, limits)
+        self._links = TargetLinks(self._opened, self._replied, self._broken)
+        self._write = write
+        self._timer: asyncio.TimerHandle | None = None
+        self._wakes_at = NEVER
+        self._performers: Mapping[type, Callable[[Any], None]] = {
+            SendAttempt: self._links.send,
+            OpenConnection: self._links.open,
+            CloseConnection: self._links.close,
+            Answer: self._answer,
+            Note: self._note,
+        }
+
+    def limit(self, settings: VmSettings) -> None:
+        """Take settings that were read again."""
+        rule = self.gateway.rule
+        rule.ratio = settings.extra_ratio
+        rule.slack = settings.extra_slack
+        rule.window = settings.extra_window
+
+    def share(self, vms: int) -> None:
+        """Take how many VMs share what the targets bear."""
+        self.gateway.sender.vms = vms
+        self.gateway.rule.vms = vms
+
+    def apply(self, belief: Belief) -> None:
+        """Put what is believed in force."""
+        config = belief.config
+        if config is not None and config is not self.gateway.config:
+            self.front.http.limits = HttpLimits(*config.limits)
+            self._perform(self.gateway.configure(config))
+        self._perform(
+            self.gateway.register(belief.targets, belief.domains_out, _now()),
+        )
+
+    def _ask(self, ask: Ask) -> None:
+        self._perform(self.gateway.ask(ask, _now()))
+
+    def _left(self, req: int) -> None:
+        self._perform(self.gateway.caller_left(req, _now()))
+
+    def _opened(self, conn: int) -> None:
+        self._perform(self.gateway.opened(conn, _now()))
+
+    def _replied(
+        self,
+        conn: int,
+        reply: TargetReply,
+        reusable: bool,
+        keep_for: float | None,
+    ) -> None:
+        self._perform(
+            self.gateway.replied(conn, reply, reusable, keep_for, _now()),
+        )
+
+    def _broken(self, conn: int, reason: str) -> None:
+        self._perform(self.gateway.broken(conn, reason, _now()))
+
+    def _wake(self) -> None:
+        self._timer = None
+        self._wakes_at = NEVER
+        self._perform(self.gateway.wake(_now()))
+
+    def _perform(self, actions: list[Action]) -> None:
+        for action in actions:
+            self._performers[type(action)](action)
+        due = self.gateway.next_wake()
+        if due < self._wakes_at:
+            if self._timer is not None:
+                self._timer.cancel()
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_at(due, self._wake)
+            self._wakes_at = due
+
+    def _answer(self, answer: Answer) -> None:
+        self.front.answer(answer)
+        labels = {'route': answer.route, 'status': str(answer.status)}
+        took_ms = answer.took * MS_PER_SECOND
+        self.latencies.record('request', took_ms, labels)
+
+    def _note(self, note: Note) -> None:
+        self._write(note.number, note.fields)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/rosemaryweir/presence/members.py
+++ b/rosemaryweir/presence/members.py
@@ -5,24 +5,40 @@
 """
 
 from collections.abc import Iterable, Sequence
+from hashlib import blake2b
+from math import log2
 from random import Random
 from typing import NamedTuple
 
 import msgspec
 
-__all__ = ['BEAT_S', 'Beat', 'Members', 'Peer', 'PeerNews', 'pack', 'unpack']
+__all__ = [
+    'BEAT_S',
+    'Beat',
+    'Members',
+    'Peer',
+    'PeerNews',
+    'pack',
+    'silence',
+    'unpack',
+]
 
 #: Time between heartbeats, in seconds.
 BEAT_S = 0.4
 #: A VM that has been silent for this long gets no more callers, in seconds:
 #: four beats, one of which may be lost.
 SILENT_S = 1.7
+#: News passes on from VM to VM where not all hear each beat: it needs this
+#: much longer each time that there are twice as many, in seconds.
+SPREAD_S = 0.4
 #: A VM that has been silent for this long is forgotten, in seconds.
 FORGOTTEN_S = 60.0
 #: VMs that hear each beat.
 FAN_OUT = 8
 #: Other VMs that a beat tells of.
-TOLD = 12
+TOLD = 16
+#: VMs that follow one kind of object in the store; the others hear from them.
+FOLLOWERS = 2
 
 
 class PeerNews(msgspec.Struct, array_like=True, frozen=True):
@@ -42,6 +58,8 @@
         Whether it serves, and whether it is about to end.
     load : float
         Share of its processor that is in use.
+    follows : tuple of str
+        Kinds of objects that the store tells it of at the moment.
     """
 
     name: str
@@ -53,6 +71,7 @@
     ready: bool
     leaving: bool
     load: float
+    follows: tuple[str, ...] = ()
 
 
 class Beat(msgspec.Struct, array_like=True, frozen=True):
@@ -80,6 +99,22 @@
     heard: float
 
 
+def silence(vms: int) -> float:
+    """Return how long a VM may be silent, in seconds.
+
+    Examples
+    --------
+    >>> silence(9), round(silence(72), 1)
+    (1.7, 2.9)
+    """
+    heard_by = FAN_OUT + 1
+    return SILENT_S + SPREAD_S * max(0, log2(vms / heard_by))
+
+
+def _rank(kind: str, name: str) -> bytes:
+    return blake2b(f'{kind}/{name}'.encode(), digest_size=8).digest()
+
+
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Beat)
 
@@ -135,6 +170,7 @@
         ready: bool,
         leaving: bool,
         load: float,
+        follows: tuple[str, ...],
         newest: dict[str, int],
         now: float,
     ) -> tuple[Beat, list[str]]:
@@ -145,10 +181,11 @@
             ready=ready,
             leaving=leaving,
             load=round(load, 2),
+            follows=follows,
         )
-        others = [peer.news for peer in self._recent(now)]
-        if len(others) > TOLD:
-            others = self._rng.sample(others, TOLD)
+        # The latest news first: it is what others don't have yet.
+        recent = sorted(self._recent(now), key=lambda peer: -peer.heard)
+        others = [peer.news for peer in recent[:TOLD]]
         return Beat(self.own, newest, others), self._hearers(now)
 
     def alive(self, now: float) -> list[PeerNews]:
@@ -158,10 +195,24 @@
     def serving(self, now: float) -> list[PeerNews]:
         """Return the VMs that callers may be sent to."""
         return [
-            news
-            for news in self.alive(now)
-            if news.ready and not news.leaving
+            news for news in self.alive(now) if news.ready and not news.leaving
+        ]
+
+    def should_follow(self, kind: str, now: float) -> bool:
+        """Return whether this VM is to follow a kind of object in the store.
+
+        The first few by rank do, of those that the store answers; each kind
+        ranks the VMs in another order.
+        """
+        own = _rank(kind, self.own.name)
+        before = [
+            peer
+            for peer in self._recent(now)
+            if kind in peer.news.follows
+            and not peer.news.leaving
+            and _rank(kind, peer.news.name) < own
         ]
+        return len(before) < FOLLOWERS
 
     def _take(self, news: PeerNews, now: float) -> None:
         if news.name == self.own.name:
@@ -174,9 +225,7 @@
 
     def _recent(self, now: float) -> list[Peer]:
         return [
-            peer
-            for peer in self._peers.values()
-            if now - peer.heard < SILENT_S
+            peer for peer in self._peers.values() if now - peer.heard < SILENT_S
         ]
 
     def _hearers(self, now: float) -> list[str]:
@@ -190,11 +239,11 @@
         known = {peer.news.address for peer in self._peers.values()}
         self._leads -= known
         return [
-            *self._some(sorted(known), FAN_OUT),
-            *self._some(sorted(self._leads), 2),
+            *self._sample(sorted(known), FAN_OUT),
+            *self._sample(sorted(self._leads), 2),
         ]
 
-    def _some(self, addresses: Sequence[str], most: int) -> Sequence[str]:
+    def _sample(self, addresses: Sequence[str], most: int) -> Sequence[str]:
         if len(addresses) <= most:
             return addresses
         return self._rng.sample(addresses, most)
--- a/rosemaryweir/telemetry/exposition.py
+++ b/rosemaryweir/telemetry/exposition.py
@@ -1,6 +1,9 @@
 """The text format of the metrics page."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Iterator, Mapping
+from itertools import chain
+
+from rosemaryweir.telemetry.histogram import Bin
 
 __all__ = ['exposition']
 
@@ -10,20 +13,48 @@
 def exposition(
     counters: Mapping[str, int],
     gauges: Mapping[str, float],
+    histograms: Mapping[str, Iterable[Bin]],
 ) -> bytes:
-    """Return counters and gauges, a line each.
+    """Return counters, gauges and histograms, a line each.
+
+    Parameters
+    ----------
+    counters, gauges : mapping
+        Numbers by name.
+    histograms : mapping
+        Bins in ms by name and labels, ``name{label=text}``; each line counts
+        the records up to its bound.
 
     Examples
     --------
-    >>> exposition({'hedges': 2}, {'requests': 1}).decode().splitlines()
-    ['rosemaryweir_hedges_total 2', 'rosemaryweir_requests 1']
+    >>> bins = {'request{route=a}': [Bin(1.0, 2), Bin(4.0, 1)]}
+    >>> page = exposition({'hedges': 2}, {'requests': 1}, bins)
+    >>> print(page.decode(), end='')
+    rosemaryweir_hedges_total 2
+    rosemaryweir_requests 1
+    rosemaryweir_request_ms_bucket{route="a",le="1.0"} 2
+    rosemaryweir_request_ms_bucket{route="a",le="4.0"} 3
     """
-    lines = [
-        *(
+    lines = chain(
+        (
             f'{PREFIX}_{name}_total {count}'
             for name, count in sorted(counters.items())
         ),
-        *(f'{PREFIX}_{name} {size}' for name, size in sorted(gauges.items())),
-        '',
-    ]
+        (f'{PREFIX}_{name} {size}' for name, size in sorted(gauges.items())),
+        chain.from_iterable(
+            _buckets(title, bins) for title, bins in histograms.items()
+        ),
+        ('',),
+    )
     return '\n'.join(lines).encode()
+
+
+def _buckets(title: str, bins: Iterable[Bin]) -> Iterator[str]:
+    name, _, inner = title.rstrip('}').partition('{')
+    pairs = (label.partition('=') for label in inner.split(',') if label)
+    labels = ''.join(f'{key}="{text}",' for key, _, text in pairs)
+    total = 0
+    for bound, count in bins:
+        total += count
+        bucket = f'{PREFIX}_{name}_ms_bucket'
+        yield f'{bucket}{{{labels}le="{bound}"}} {total}'
--- a/rosemaryweir/transport/exchange.py
+++ b/rosemaryweir/transport/exchange.py
@@ -37,7 +37,7 @@
     def answer(
         self,
         status: int,
-        headers: Iterable[tuple[str | bytes, str | bytes]],
+        headers: Iterable[tuple[Any, Any]],
         body: bytes,
     ) -> None:
         """Write a whole answer."""
@@ -80,7 +80,7 @@
         self,
         status: int,
         body: bytes,
-        headers: Iterable[tuple[str | bytes, str | bytes]] = (),
+        headers: Iterable[tuple[Any, Any]] = (),
     ) -> None:
         """Answer, unless the peer is gone or was answered."""
         if not self.done:
--- a/rosemaryweir/transport/gossip.py
+++ b/rosemaryweir/transport/gossip.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import closing
 from urllib.parse import parse_qs, urlsplit
 
 import msgspec
@@ -46,10 +47,11 @@
         """Listen on ``ip:port``."""
         host, _, port = address.rpartition(':')
         loop = asyncio.get_running_loop()
-        self._transport, _ = await loop.create_datagram_endpoint(
+        pair = await loop.create_datagram_endpoint(
             lambda: self,
             local_addr=(host, int(port)),
         )
+        self._transport = pair[0]
 
     def send(self, beat: Beat, addresses: list[str]) -> None:
         """Send a heartbeat; what can't leave is dropped, the next one comes."""
@@ -128,6 +130,13 @@
             self.reply.set_exception(ConnectionError(reason))
 
 
+class _Dropped:
+    """Drops a channel at the end of a block."""
+
+    def __init__(self, channel: Channel) -> None:
+        self.close = channel.drop
+
+
 async def fetch_changes(
     address: str,
     kind: str,
@@ -144,12 +153,10 @@
     """
     waiter = _OneReply()
     channel = await open_channel(address, waiter, CONNECT_S)
-    try:
+    with closing(_Dropped(channel)):
         async with asyncio.timeout(ANSWER_S):
             channel.send('GET', f'{CHANGES_PATH}?kind={kind}&since={since}')
             reply = await waiter.reply
-    finally:
-        channel.drop()
     if reply.status != HTTP_OK:
         raise ConnectionError(f'status {reply.status}')
     try:
--- a/rosemaryweir/transport/http_client.py
+++ b/rosemaryweir/transport/http_client.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from collections.abc import Iterable, Mapping, Sequence
-from typing import NamedTuple, Protocol
+from typing import Any, NamedTuple, Protocol
 
 import h11
 
@@ -111,7 +111,7 @@
         self,
         method: str,
         path: str,
-        headers: Iterable[tuple[str | bytes, str | bytes]],
+        headers: Iterable[tuple[Any, Any]],
         body: bytes,
     ) -> None:
         """Send a request whose headers are given whole."""
--- a/rosemaryweir/transport/http_server.py
+++ b/rosemaryweir/transport/http_server.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from typing import Any
 
 import h11
 
@@ -112,7 +113,7 @@
     def answer(
         self,
         status: int,
-        headers: Iterable[tuple[str | bytes, str | bytes]],
+        headers: Iterable[tuple[Any, Any]],
         body: bytes,
     ) -> None:
         """Write a whole answer and take the next request."""
