--- a/rosemaryweir/presence/members.py
+++ b/rosemaryweir/presence/members.py
@@ -8,7 +8,7 @@
 from hashlib import blake2b
 from math import log2
 from random import Random
-from typing import NamedTuple
+from typing import NamedTuple, TypeVar
 
 import msgspec
 
@@ -35,11 +35,16 @@
 FORGOTTEN_S = 60.0
 #: VMs that hear each beat.
 FAN_OUT = 8
-#: Other VMs that a beat tells of.
-TOLD = 16
-#: The same where every VM hears every beat: it is for those between which
-#: the way is cut.
-TOLD_BY_ALL = 3
+#: Other VMs that a beat tells of in full.
+TOLD = 4
+#: The same while VMs are still being found.
+TOLD_WHILE_NEW = 20
+#: How long after the last new one that is, in seconds.
+NEW_S = 3.0
+#: Leads that hear each beat: VMs that were named but never heard.
+LEADS = 6
+#: Other VMs whose counts a beat tells.
+COUNTED = 200
 #: VMs that follow one kind of object in the store; the others hear from them.
 FOLLOWERS = 2
 
@@ -87,18 +92,22 @@
     newest : dict of str to int
         Revision of the newest change that it knows, by kind of object.
     others : list of PeerNews
-        What it knows of other VMs.
+        What it knows of some other VMs.
+    counts : dict of int to int
+        Counts of all other VMs, by their keys.
     """
 
     sender: PeerNews
     newest: dict[str, int]
     others: list[PeerNews]
+    counts: dict[int, int]
 
 
 class Peer(NamedTuple):
-    """A VM and when its count last rose."""
+    """A VM, its highest count, and when that last rose."""
 
     news: PeerNews
+    beat: int
     heard: float
 
 
@@ -114,10 +123,17 @@
     return SILENT_S + SPREAD_S * max(0, log2(vms / heard_by))
 
 
+def _key(news: PeerNews) -> int:
+    """Return a short name of one incarnation of a VM."""
+    text = f'{news.name}/{news.incarnation}'.encode()
+    return int.from_bytes(blake2b(text, digest_size=4).digest())
+
+
 def _rank(kind: str, name: str) -> bytes:
     return blake2b(f'{kind}/{name}'.encode(), digest_size=8).digest()
 
 
+Item = TypeVar('Item')
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(Beat)
 
@@ -156,6 +172,8 @@
         self.own = own
         self._rng = rng
         self._peers: dict[str, Peer] = {}
+        self._names: dict[int, str] = {}
+        self._found = float('-inf')
         self._leads: set[str] = set()
 
     def lead(self, addresses: Iterable[str]) -> None:
@@ -167,6 +185,8 @@
         """Take a heartbeat."""
         for news in (beat.sender, *beat.others):
             self._take(news, now)
+        for key, count in beat.counts.items():
+            self._count(key, count, now)
 
     def beat(
         self,
@@ -186,8 +206,14 @@
             load=round(load, 2),
             follows=follows,
         )
-        others = self._told(self._recent(now))
-        return Beat(self.own, newest, others), self._hearers(now)
+        recent = self._recent(now)
+        told = TOLD_WHILE_NEW if now - self._found < NEW_S else TOLD
+        others = self._sample([peer.news for peer in recent], told)
+        counts = {
+            _key(peer.news): peer.beat for peer in self._sample(recent, COUNTED)
+        }
+        beat = Beat(self.own, newest, list(others), counts)
+        return beat, self._hearers(now, everyone=leaving)
 
     def alive(self, now: float) -> list[PeerNews]:
         """Return this VM and those heard of lately."""
@@ -215,44 +241,48 @@
         ]
         return len(before) < FOLLOWERS
 
-    def _told(self, recent: list[Peer]) -> list[PeerNews]:
-        if len(recent) <= FAN_OUT:
-            some = self._rng.sample(recent, min(TOLD_BY_ALL, len(recent)))
-            return [peer.news for peer in some]
-        # The latest news first: it is what others don't have yet.
-        recent.sort(key=lambda peer: -peer.heard)
-        return [peer.news for peer in recent[:TOLD]]
-
     def _take(self, news: PeerNews, now: float) -> None:
         if news.name == self.own.name:
             return
         known = self._peers.get(news.name)
-        age = (news.incarnation, news.beat)
-        if known and age <= (known.news.incarnation, known.news.beat):
-            return
-        self._peers[news.name] = Peer(news, now)
+        if known is None or news.incarnation > known.news.incarnation:
+            self._found = now
+            self._names[_key(news)] = news.name
+            self._peers[news.name] = Peer(news, news.beat, now)
+        elif news.incarnation == known.news.incarnation:
+            latest = news if news.beat > known.news.beat else known.news
+            self._peers[news.name] = known._replace(news=latest)
+            self._count(_key(news), news.beat, now)
+
+    def _count(self, key: int, count: int, now: float) -> None:
+        known = self._peers.get(self._names.get(key, ''))
+        if known and _key(known.news) == key and count > known.beat:
+            self._peers[known.news.name] = known._replace(
+                beat=count,
+                heard=now,
+            )
 
     def _recent(self, now: float) -> list[Peer]:
         return [
             peer for peer in self._peers.values() if now - peer.heard < SILENT_S
         ]
 
-    def _hearers(self, now: float) -> list[str]:
+    def _hearers(self, now: float, everyone: bool) -> list[str]:
         forgotten = [
             name
             for name, peer in self._peers.items()
             if now - peer.heard > FORGOTTEN_S
         ]
         for name in forgotten:
-            self._peers.pop(name)
+            self._names.pop(_key(self._peers.pop(name).news), None)
         known = {peer.news.address for peer in self._peers.values()}
         self._leads -= known
         return [
-            *self._sample(sorted(known), FAN_OUT),
-            *self._sample(sorted(self._leads), 2),
+            *self._sample(sorted(known), len(known) if everyone else FAN_OUT),
+            *self._sample(sorted(self._leads), LEADS),
         ]
 
-    def _sample(self, addresses: Sequence[str], most: int) -> Sequence[str]:
-        if len(addresses) <= most:
-            return addresses
-        return self._rng.sample(addresses, most)
+    def _sample(self, some: Sequence[Item], most: int) -> Sequence[Item]:
+        if len(some) <= most:
+            return some
+        return self._rng.sample(some, most)
