--- a/rosemaryweir/gateway/fleet.py
+++ b/rosemaryweir/gateway/fleet.py
@@ -49,8 +49,9 @@
             known = self._targets.get(name)
             if known is None:
                 self._targets[name] = Target(entry, now)
-            else:
+            elif known.entry != entry:
                 known.entry = entry
+                known.cold_until = max(known.cold_until, now + entry.cold_for)
         self._arrange()
         return dropped
 
--- a/rosemaryweir/gateway/gateway.py
+++ b/rosemaryweir/gateway/gateway.py
@@ -23,6 +23,7 @@
 from rosemaryweir.gateway.model import Configuration, Route, TargetEntry
 from rosemaryweir.gateway.outcome import Outcome, outcome_of
 from rosemaryweir.gateway.pace import Pace
+from rosemaryweir.gateway.quota import VmPlace
 from rosemaryweir.gateway.records import greatest
 from rosemaryweir.gateway.sender import Sender
 from rosemaryweir.gateway.spending import ExtraSends, SpendingRule
@@ -56,8 +57,8 @@
 
     Parameters
     ----------
-    domain : str
-        Failure domain of the VM.
+    own : VmPlace
+        The VM and its failure domain.
     rule : SpendingRule
         Allowance of extra sends.
     rng : random.Random
@@ -71,13 +72,13 @@
 
     def __init__(
         self,
-        domain: str,
+        own: VmPlace,
         rule: SpendingRule,
         rng: Random,
     ) -> None:
         self.counts: Counter[str] = Counter()
         self.fleet = Fleet()
-        self.sender = Sender(self.fleet, domain, rng)
+        self.sender = Sender(self.fleet, own, rng)
         self.config: Configuration | None = None
         self.rule = rule
         self._rng = rng
@@ -200,6 +201,8 @@
         attempt = conn.attempt
         target = conn.target
         outcome = outcome_of(reply, attempt.piece.job.ask.request_id)
+        if reply.cold_for is not None:
+            target.cold_until = now + reply.cold_for
         self.sender.finish(attempt)
         took = now - attempt.sent
         pace = attempt.piece.job.pace
@@ -250,7 +253,7 @@
         targets = self.sender.available(piece.service, now)
         if not targets:
             return True
-        connections = len(targets) * self.sender.room(piece.service)
+        connections = sum(map(self.sender.room, targets))
         lane = self.sender.lane(piece.service)
         return now + lane.wait(connections) > piece.job.deadline
 
@@ -461,7 +464,7 @@
     def _return_after(self, job: Job, now: float) -> float:
         lanes = [self.sender.lane(piece.service) for piece in job.pieces]
         queue = max(
-            lane.wait(self.sender.room(piece.service))
+            lane.wait(self.sender.connections(piece.service))
             for lane, piece in zip(lanes, job.pieces, strict=True)
         )
         rests = [
--- a/rosemaryweir/gateway/placement.py
+++ b/rosemaryweir/gateway/placement.py
@@ -1,6 +1,6 @@
 """Which target a piece of a request is sent to."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from random import Random
 from typing import NamedTuple
 
@@ -71,7 +71,7 @@
     def choose(
         self,
         targets: Iterable[Target],
-        room: int,
+        room: Callable[[Target], int],
         now: float,
     ) -> Choice | None:
         """Return the best target that is free or may be connected to.
@@ -80,15 +80,15 @@
         ----------
         targets : iterable of Target
             Candidates.
-        room : int
-            Connections that this VM may have to each.
+        room : callable
+            Returns how many connections this VM may have to a target.
         now : float
             Present time.
         """
         best: Choice | None = None
         for target in targets:
             free = bool(target.idle)
-            if not free and len(target.connections) >= room:
+            if not free and len(target.connections) >= room(target):
                 continue
             if now < target.rests_until and target.in_flight == 0:
                 continue
--- a/rosemaryweir/gateway/sender.py
+++ b/rosemaryweir/gateway/sender.py
@@ -9,12 +9,13 @@
     OpenConnection,
     SendAttempt,
 )
+from rosemaryweir.gateway.cold import ColdGate, keeper
 from rosemaryweir.gateway.fleet import Fleet
 from rosemaryweir.gateway.job import Attempt, Piece
 from rosemaryweir.gateway.lane import Lane
 from rosemaryweir.gateway.model import ServiceBounds
 from rosemaryweir.gateway.placement import Choice, Placement
-from rosemaryweir.gateway.quota import connection_share
+from rosemaryweir.gateway.quota import ConnectionShares, VmPlace
 from rosemaryweir.gateway.target import Connection, Target
 
 __all__ = ['Sender']
@@ -37,8 +38,8 @@
     ----------
     fleet : Fleet
         The targets.
-    domain : str
-        Failure domain of the VM.
+    own : VmPlace
+        The VM and its failure domain.
     rng : random.Random
         Source of chance.
 
@@ -48,17 +49,17 @@
         What is to be done; whoever handles an event takes it.
     bounds : dict of str to ServiceBounds
         What targets of each service bear.
-    vms : int
-        VMs that share those bounds.
+    shares : ConnectionShares
+        Connections that this VM may have of those.
     """
 
-    def __init__(self, fleet: Fleet, domain: str, rng: Random) -> None:
+    def __init__(self, fleet: Fleet, own: VmPlace, rng: Random) -> None:
         self.out: list[Action] = []
         self.bounds: dict[str, ServiceBounds] = {}
-        self.vms = 1
+        self.shares = ConnectionShares(own)
         self.attempts: dict[int, Attempt] = {}
         self._fleet = fleet
-        self._placement = Placement(domain, rng)
+        self._placement = Placement(own.domain, rng)
         self._conns: dict[int, Connection] = {}
         self._lanes: dict[str, Lane] = {}
         self._numbers = count(1)
@@ -75,17 +76,22 @@
         """Return a connection that is open or opening."""
         return self._conns.get(number)
 
-    def room(self, service: str) -> int:
+    def room(self, target: Target) -> int:
         """Return how many connections this VM may have to a target."""
-        bounds = self.bounds.get(service, UNKNOWN_BOUNDS)
-        return connection_share(bounds.connections, self.vms)
+        entry = target.entry
+        bounds = self.bounds.get(entry.service, UNKNOWN_BOUNDS)
+        return self.shares.room(entry.name, entry.domain, bounds.connections)
+
+    def connections(self, service: str) -> int:
+        """Return how many connections this VM may have to a service."""
+        return sum(map(self.room, self._fleet.usable(service)))
 
     def available(self, service: str, now: float) -> list[Target]:
         """Return the targets that are expected to answer now."""
         return [
             target
             for target in self._fleet.usable(service)
-            if target.rests_until <= now
+            if target.rests_until <= now and self._may_use(target, now)
         ]
 
     def best(self, piece: Piece, now: float) -> Choice | None:
@@ -94,12 +100,23 @@
             target
             for target in self._fleet.usable(piece.service)
             if target.entry.name not in piece.tried
+            and self._may_use(target, now)
         ]
-        return self._placement.choose(
-            candidates,
-            self.room(piece.service),
-            now,
-        )
+        return self._placement.choose(candidates, self.room, now)
+
+    def _may_use(self, target: Target, now: float) -> bool:
+        return self.room(target) > 0 and self._bears(target, now)
+
+    def _bears(self, target: Target, now: float) -> bool:
+        """Return whether a target may get a request now, if it is cold."""
+        bounds = self.bounds.get(target.entry.service, UNKNOWN_BOUNDS)
+        if not bounds.cold_rate or now >= target.cold_until:
+            return True
+        if keeper(target.entry.name, self.shares.vms) != self.shares.own:
+            return False
+        if target.cold_gate is None:
+            target.cold_gate = ColdGate(bounds.cold_rate, now)
+        return target.cold_gate.open(now)
 
     def place(self, piece: Piece, now: float, hedge: bool = False) -> None:
         """Send a piece, or let it wait for a connection."""
@@ -177,7 +194,9 @@
         if known is not target or target.entry.leaving:
             self._close(conn)
             return
-        piece = self.lane(target.entry.service).next(target, now)
+        piece = None
+        if self._bears(target, now):
+            piece = self.lane(target.entry.service).next(target, now)
         if piece is None:
             target.idle.append(conn)
         else:
@@ -208,6 +227,8 @@
     ) -> None:
         job = piece.job
         target = conn.target
+        if target.cold_gate is not None:
+            target.cold_gate.admit(now)
         attempt = Attempt(
             next(self._numbers),
             piece,
@@ -239,7 +260,7 @@
         service = target.entry.service
         if target.opening > len(self.lane(service).waiting):
             return
-        if len(target.connections) >= self.room(service):
+        if len(target.connections) >= self.room(target):
             return
         conn = Connection(next(self._numbers), target, now)
         self._conns[conn.number] = conn
--- a/rosemaryweir/gateway/target.py
+++ b/rosemaryweir/gateway/target.py
@@ -2,6 +2,7 @@
 
 from math import exp
 
+from rosemaryweir.gateway.cold import ColdGate
 from rosemaryweir.gateway.job import Attempt
 from rosemaryweir.gateway.model import TargetEntry
 
@@ -100,6 +101,10 @@
         Until when nothing is sent.
     full_until : float
         Until when it is taken to have no room.
+    cold_until : float
+        Until when it is cold.
+    cold_gate : ColdGate or None
+        What it gets while it is cold, where this VM keeps it.
     """
 
     def __init__(self, entry: TargetEntry, now: float) -> None:
@@ -110,6 +115,7 @@
         self.rests_until = 0.0
         self.full_until = 0.0
         self.cold_until = now + entry.cold_for
+        self.cold_gate: ColdGate | None = None
         self._in_flight: dict[int, float] = {}
         self._opening: dict[int, float] = {}
         self._speed = 1.0
--- a/rosemaryweir/gateway/tests/rig.py
+++ b/rosemaryweir/gateway/tests/rig.py
@@ -22,6 +22,7 @@
     ServiceShare,
     TargetEntry,
 )
+from rosemaryweir.gateway.quota import VmPlace
 from rosemaryweir.gateway.spending import SpendingRule
 
 WAY = 0.001
@@ -76,7 +77,9 @@
 class Rig:
     """The gateway, its targets, and what callers got."""
 
-    def __init__(self, services, *, routes, per=3, connections=30, vms=1):
+    def __init__(
+        self, services, *, routes, per=3, connections=30, vms=1, own='vm-0'
+    ):
         self.now = 100.0
         self.answers = {}
         self.notes = []
@@ -86,8 +89,10 @@
         self._conns = {}
         self._numbers = count(1)
         rule = SpendingRule(ratio=0.2, slack=50, window=10)
-        self.gateway = Gateway('d0', rule, Random(7))
-        self.gateway.sender.vms = vms
+        self.gateway = Gateway(VmPlace(own, 'd0'), rule, Random(7))
+        self.gateway.sender.shares.update(
+            VmPlace(f'vm-{number}', 'd0') for number in range(vms)
+        )
         for service in services:
             for place in range(per):
                 name = f'{service}-{place}'
@@ -104,6 +109,20 @@
         entries = {name: target.entry for name, target in self.targets.items()}
         self.do(self.gateway.register(entries, closed, self.now))
 
+    def make_cold(self, domain, cold_for, rate):
+        """Let the targets of a failure domain be cold, with a limit."""
+        config = self.gateway.config
+        services = {
+            name: bounds._replace(cold_rate=rate)
+            for name, bounds in config.services.items()
+        }
+        config = config._replace(services=services)
+        self.do(self.gateway.configure(config))
+        for target in self.targets.values():
+            if target.entry.domain == domain:
+                target.entry = target.entry._replace(cold_for=cold_for)
+        self.register()
+
     def of(self, service):
         return [
             target
--- a/rosemaryweir/gateway/tests/test_gateway.py
+++ b/rosemaryweir/gateway/tests/test_gateway.py
@@ -198,3 +198,20 @@
     when, answer = rig.answers[req]
     assert answer.status in {502, 503}
     assert when - came < 0.05
+
+
+def test_cold_targets_get_no_more_than_they_bear_from_all_vms():
+    # Load pattern: the targets of the near failure domain return cold. Each
+    # of the VMs is played in turn; their sends are added up.
+    total = Counter()
+    for number in range(4):
+        rig = query_rig(vms=4, own=f'vm-{number}')
+        rig.make_cold('d0', cold_for=10.0, rate=4.0)
+        for _ in range(100):
+            rig.ask()
+            rig.run(0.05)
+        for name in SHARDS:
+            total[name] += len(rig.targets[f'{name}-0'].arrivals)
+        assert all(a.status == 200 for _, a in rig.answers.values())
+    assert max(total.values()) <= 4.0 * 5 + 1
+    assert sum(total.values()) > 0
--- a/rosemaryweir/node/catalogue.py
+++ b/rosemaryweir/node/catalogue.py
@@ -2,7 +2,8 @@
 
 Each subpackage registers its events beside the code that logs them; the page
 ``docs/EVENTS.md`` is made from the registry.  Numbers: 100 node, 200 query,
-300 targets, 400 orders, 500 config, 600 membership, 700 daemons.
+300 targets, 400 orders, 500 config, 600 membership, 700 daemons, 800 gateway
+and VMs on the platform.
 """
 
 from typing import NamedTuple
--- a/rosemaryweir/platform/store.py
+++ b/rosemaryweir/platform/store.py
@@ -153,6 +153,9 @@
     def known_up_to(self, kind: str) -> int:
         """Return the revision up to which all is known."""
 
+    def should_follow(self, kind: str) -> bool:
+        """Return whether this VM is to watch a kind itself."""
+
 
 @contextmanager
 def _one_link(address: str) -> Iterator[StoreLink]:
--- a/rosemaryweir/platform/traffic.py
+++ b/rosemaryweir/platform/traffic.py
@@ -1,7 +1,7 @@
 """The gateway with its ports: callers on one side, targets on the other."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from random import Random
 from typing import Any
 
@@ -16,6 +16,7 @@
     TargetReply,
 )
 from rosemaryweir.gateway.gateway import Gateway
+from rosemaryweir.gateway.quota import VmPlace
 from rosemaryweir.gateway.spending import SpendingRule
 from rosemaryweir.platform.belief import Belief
 from rosemaryweir.platform.callers import CallerFront
@@ -59,8 +60,9 @@
             settings.extra_window,
         )
         limits = HttpLimits(body_bytes=FIRST_BODY_BYTES)
+        own = VmPlace(settings.name, settings.domain)
         self.latencies = HistogramSet()
-        self.gateway = Gateway(settings.domain, rule, rng)
+        self.gateway = Gateway(own, rule, rng)
         self.front = CallerFront(self._ask, self._left, limits)
         self._links = TargetLinks(self._opened, self._replied, self._broken)
         self._write = write
@@ -81,10 +83,11 @@
         rule.slack = settings.extra_slack
         rule.window = settings.extra_window
 
-    def share(self, vms: int) -> None:
-        """Take how many VMs share what the targets bear."""
-        self.gateway.sender.vms = vms
-        self.gateway.rule.vms = vms
+    def share(self, vms: Iterable[VmPlace]) -> None:
+        """Take the VMs that share what the targets bear."""
+        places = tuple(vms)
+        self.gateway.sender.shares.update(places)
+        self.gateway.rule.vms = len(places)
 
     def apply(self, belief: Belief) -> None:
         """Put what is believed in force."""
--- a/rosemaryweir/platform/vm.py
+++ b/rosemaryweir/platform/vm.py
@@ -11,6 +11,7 @@
 from rosemaryweir.daemons.clock import SystemClock
 from rosemaryweir.daemons.logs import EventLog
 from rosemaryweir.exception import InvalidInput
+from rosemaryweir.gateway.quota import VmPlace
 from rosemaryweir.node.state import NodeUid
 from rosemaryweir.platform import events, words
 from rosemaryweir.platform.callers import Directory, ready_handler
@@ -169,7 +170,8 @@
 
     def _send_beat(self) -> None:
         self.control.beat(self.serving, self._leaving, self._load)
-        self.traffic.share(len(self.control.members.alive(_now())))
+        alive = self.control.members.alive(_now())
+        self.traffic.share(VmPlace(vm.name, vm.domain) for vm in alive)
 
     def _take_news(self) -> None:
         self.traffic.apply(self.control.belief)
--- a/rosemaryweir/presence/members.py
+++ b/rosemaryweir/presence/members.py
@@ -282,7 +282,7 @@
             *self._sample(sorted(self._leads), LEADS),
         ]
 
-    def _sample(self, some: Sequence[Item], most: int) -> Sequence[Item]:
-        if len(some) <= most:
-            return some
-        return self._rng.sample(some, most)
+    def _sample(self, crowd: Sequence[Item], most: int) -> Sequence[Item]:
+        if len(crowd) <= most:
+            return crowd
+        return self._rng.sample(crowd, most)
--- a/tools/pages.py
+++ b/tools/pages.py
@@ -12,6 +12,7 @@
 from rosemaryweir import compose
 from rosemaryweir.daemons import process
 from rosemaryweir.node.catalogue import catalogue
+from rosemaryweir.platform import vm
 
 __all__ = ['events', 'main', 'page', 'settings', 'stale_pages']
 
@@ -44,6 +45,7 @@
     compose.load_parts()
     # The daemons register events of their own when they are imported.
     assert process.STARTED  # noqa: S101
+    assert vm.Vm  # noqa: S101
     yield '# Catalogue of log events\n'
     yield 'Every log line carries the number and the name of its event.'
     yield f'{MADE_BY}\n'
