A VM that begins to serve says so at once; tests of a whole VM over sockets

The directory named a VM up to a beat (0.5 s) after it could serve; a test of a VM with a stand-in store and targets failed on it. The same rig holds the translation: merged answers, orders passed on unchanged, true refusals, draining, a dropped route, leaving.

--- /dev/null
+++ b/rosemaryweir/platform/tests/test_vm.py
@@ -0,0 +1,248 @@
+"""A whole VM over real sockets, with a stand-in store and targets."""
+
+import asyncio
+import json
+
+import pytest
+
+from rosemaryweir.platform.settings import parse_settings
+from rosemaryweir.platform.tests.store import FakeStore
+from rosemaryweir.platform.tests.test_settings import WHOLE
+from rosemaryweir.platform.vm import Vm
+from rosemaryweir.transport.fetch import fetch
+from rosemaryweir.transport.http_server import HttpServer
+
+PORTS = 19000
+SHARDS = tuple(f's{number}' for number in range(4))
+LIMITS = {
+    'max_header_bytes': 16384,
+    'max_body_bytes': 262144,
+    'header_timeout_ms': 3000,
+    'idle_timeout_ms': 15000,
+}
+ID = ('x-request-id', 'abc')
+
+
+class FakeTarget:
+    """Answers every request with one record, or as its mode says."""
+
+    def __init__(self, name):
+        self.name = name
+        self.mode = 'good'
+        self.seen = []
+        self.http = HttpServer(self._take)
+
+    def _take(self, exchange):
+        request = exchange.request
+        self.seen.append(request)
+        if self.mode == 'cut':
+            exchange.abort()
+            return
+        name = request.headers['x-request-id']
+        if self.mode == 'stray':
+            name = 'other'
+        headers = [('x-request-id', name)]
+        if request.headers['x-expect-instance'] != self.name:
+            exchange.reply(421, b'', headers)
+        elif self.mode == 'full':
+            exchange.reply(503, b'', [*headers, ('x-not-executed', '1')])
+        else:
+            signature = f'{self.name}.{request.headers["x-request-id"]}'
+            headers.append(('x-response-stamp', signature))
+            headers.append(('keep-alive', 'timeout=5'))
+            exchange.reply(200, self.name.ljust(16).encode(), headers)
+
+
+class Site:
+    """One VM, its store and one target a service."""
+
+    def __init__(self, first_port):
+        self.store = FakeStore()
+        self.targets = {name: FakeTarget(f'i-{name}') for name in SHARDS}
+        self.targets['orders'] = FakeTarget('i-orders')
+        self.ports = [f'127.0.0.1:{first_port + at}' for at in range(4)]
+        self.task = None
+
+    async def start(self):
+        address = await self.store.http.start('127.0.0.1:0')
+        front, ready, directory, peer = self.ports
+        for name, target in self.targets.items():
+            where = await target.http.start('127.0.0.1:0')
+            self.store.put('servers', target.name, server(name, where))
+        self.store.put('config', 'main', configuration())
+        text = WHOLE.replace('127.0.0.1:8229', address)
+        text = text.replace('127.0.0.1:8226', front)
+        text = text.replace('127.0.0.1:8227', ready)
+        text = text.replace('127.0.0.1:8225', directory)
+        text = text.replace('7740', peer.rpartition(':')[2])
+        self.vm = Vm(parse_settings(text), 'settings', 0)
+        self.task = asyncio.create_task(self.vm.run())
+        async with asyncio.timeout(20):
+            while not self.vm.serving:
+                await asyncio.sleep(0.01)
+
+    async def stop(self):
+        self.task.cancel()
+        await self.vm.traffic.front.http.stop()
+        await self.vm.control.stop()
+        await self.store.http.stop()
+        for target in self.targets.values():
+            await target.http.stop()
+
+    async def get(self, path, *headers, method='GET', body=b''):
+        headers = [('x-request-deadline-ms', '2000'), ID, *headers]
+        return await fetch(self.ports[0], method, path, headers, body)
+
+
+def server(service, address, **changes):
+    return {
+        'service': service,
+        'address': address,
+        'zone': 'd0',
+        'version': 'v1',
+        'slots': 3,
+        'state': 'ready',
+        'cold_remaining_ms': 0,
+        'seq': 1,
+        **changes,
+    }
+
+
+def configuration(version=1, **changes):
+    route = {'name': 'sweep', 'host': '127.0.0.1', 'path_prefix': '/sweep/'}
+    query = {
+        **route,
+        'route_type': 'safe',
+        'timeout_ms': 1500,
+        'target_latency_ms': 900,
+        'fanout_services': list(SHARDS),
+        'max_attempts': 2,
+        'top_k': 3,
+        'min_shard_ratio': 0.5,
+    }
+    order = {
+        'name': 'order',
+        'host': '127.0.0.1',
+        'path_prefix': '/order/',
+        'route_type': 'unsafe',
+        'timeout_ms': 1500,
+        'target_latency_ms': 500,
+        'service': 'orders',
+    }
+    services = [
+        {'name': name, 'max_connections': 30} for name in (*SHARDS, 'orders')
+    ]
+    return {
+        'version': version,
+        'routes': [query, order],
+        'services': services,
+        'limits': LIMITS,
+        **changes,
+    }
+
+
+def play(scenario, first_port):
+    async def run():
+        site = Site(first_port)
+        await site.start()
+        try:
+            await scenario(site)
+        finally:
+            await site.stop()
+
+    asyncio.run(run())
+
+
+def test_a_query_is_merged_and_tells_its_coverage():
+    async def scenario(site):
+        reply = await site.get('/sweep/1')
+        assert reply.status == 200
+        assert reply.headers['x-missing-parts'] == '0'
+        signatures = reply.headers['x-part-stamps'].split(', ')
+        assert sorted(signatures) == [f'i-{name}.abc' for name in SHARDS]
+        records = [reply.body[at : at + 16] for at in (0, 16, 32)]
+        assert records == sorted(records, reverse=True)
+        site.targets['s1'].mode = 'stray'
+        reply = await site.get('/sweep/1')
+        assert reply.headers['x-missing-parts'] == '1'
+        assert 'i-s1' not in reply.headers['x-part-stamps']
+
+    play(scenario, PORTS)
+
+
+def test_an_order_reaches_its_target_as_the_caller_sent_it():
+    async def scenario(site):
+        reply = await site.get(
+            '/order/7?x=%20y',
+            ('x-own', 'kept'),
+            ('connection', 'x-hop'),
+            ('x-hop', 'dropped'),
+            method='POST',
+            body=b'seven discs',
+        )
+        assert reply.status == 200
+        assert reply.headers['x-response-stamp'] == 'i-orders.abc'
+        (seen,) = site.targets['orders'].seen
+        assert seen.method == 'POST'
+        assert seen.path == '/order/7?x=%20y'
+        assert seen.body == b'seven discs'
+        assert seen.headers['x-own'] == 'kept'
+        assert 'x-hop' not in seen.headers
+        assert int(seen.headers['x-request-deadline-ms']) <= 2000
+
+    play(scenario, PORTS + 10)
+
+
+@pytest.mark.parametrize(
+    ('mode', 'status'),
+    [('cut', 502), ('full', 503), ('stray', 502)],
+)
+def test_a_failed_order_is_told_truly(mode, status):
+    async def scenario(site):
+        site.targets['orders'].mode = mode
+        reply = await site.get('/order/7', method='POST', body=b'x')
+        assert reply.status == status
+        assert ('retry-after' in reply.headers) == (status == 503)
+        if mode != 'full':
+            assert len(site.targets['orders'].seen) == 1
+
+    play(scenario, PORTS + 20 + 10 * len(mode))
+
+
+def test_changes_of_the_store_come_into_force():
+    async def scenario(site):
+        where = site.store.objects['servers', 'i-s0']['spec']['address']
+        leaving = server('s0', where, state='draining')
+        site.store.put('servers', 'i-s0', leaving)
+        site.store.put('servers', 'i-alien', {'service': 3})
+        routes = configuration()['routes'][:1]
+        site.store.put('config', 'main', configuration(2, routes=routes))
+        async with asyncio.timeout(20):
+            while (await site.get('/order/7')).status != 404:
+                await asyncio.sleep(0.02)
+        before = len(site.targets['s0'].seen)
+        reply = await site.get('/sweep/1')
+        assert reply.headers['x-missing-parts'] == '1'
+        assert len(site.targets['s0'].seen) == before
+
+    play(scenario, PORTS + 90)
+
+
+def test_the_directory_names_the_vm_until_it_leaves():
+    async def scenario(site):
+        front, ready, directory, _ = site.ports
+        path = '/resolve?name=a&region=r&zone=d0'
+        reply = await fetch(directory, 'GET', path)
+        assert json.loads(reply.body)['addrs'] == [front]
+        assert (await fetch(ready, 'GET', '/ready')).status == 200
+        site.vm.shutdown()
+        assert (await fetch(ready, 'GET', '/ready')).status == 503
+        assert (await fetch(directory, 'GET', path)).status == 503
+        # A caller with an older answer is still served.
+        reply = await site.get('/sweep/1')
+        assert reply.status == 200
+        assert reply.headers['connection'] == 'close'
+        async with asyncio.timeout(20):
+            await site.task
+
+    play(scenario, PORTS + 100)
--- a/rosemaryweir/platform/vm.py
+++ b/rosemaryweir/platform/vm.py
@@ -175,6 +175,9 @@
 
     def _take_news(self) -> None:
         self.traffic.apply(self.control.belief)
+        if self.serving and not self.control.members.own.ready:
+            # The others name this VM to callers from now on.
+            self._send_beat()
 
     def _addresses(self, domain: str) -> list[str]:
         serving = self.control.members.serving(_now())
