--- a/rosemaryweir/gateway/gateway.py
+++ b/rosemaryweir/gateway/gateway.py
@@ -48,6 +48,8 @@
 HTTP_TIMEOUT = 504
 #: Sends of one piece, those included that were turned away.
 MOST_SENDS = 5
+#: Targets that one log line names at most.
+MOST_NAMED = 6
 #: One success in so many is logged.
 LOGGED_SHARE = 50
 
@@ -508,6 +510,8 @@
                         for piece in job.pieces
                         if piece.reply is None
                     ],
+                    'owed': _owed(job, now),
+                    'repeated': _repeated(job),
                     'reason': answer.reason,
                 },
             ),
@@ -564,3 +568,24 @@
         out = self.sender.out
         self.sender.out = []
         return out
+
+
+def _owed(job: Job, now: float) -> list[str]:
+    """Return the targets that owe a reply, with their time in ms."""
+    found = [
+        f'{attempt.target} {round((now - attempt.sent) * 1000)}'
+        for piece in job.pieces
+        if piece.reply is None
+        for attempt in piece.open
+    ]
+    return found[:MOST_NAMED]
+
+
+def _repeated(job: Job) -> list[str]:
+    """Return the services that were sent to more than once, with a count."""
+    found = [
+        f'{piece.service} {piece.sends}'
+        for piece in job.pieces
+        if piece.sends > 1
+    ]
+    return found[:MOST_NAMED]
