Slow targets are learnt from few answers and told to other VMs; mostly near heartbeats; stale first lists

Load pattern: a fleet of 79 VMs in which each sees a target less than once a second, while a sixth of the targets turn ten times slower. Cause: five slow answers were needed to know one, and 3 s forgot it. Ruled out: connections (rights to two targets of nearly every shard) and loops that are late. Slow ones are known after two answers, remembered longer the more there were, and told with heartbeats.

--- a/rosemaryweir/gateway/fleet.py
+++ b/rosemaryweir/gateway/fleet.py
@@ -3,10 +3,13 @@
 from collections.abc import Collection, Mapping
 
 from rosemaryweir.gateway.model import TargetEntry
-from rosemaryweir.gateway.target import Target
+from rosemaryweir.gateway.target import SLOW_FOLD, Target
 
 __all__ = ['Fleet']
 
+#: Slow targets that a VM tells others of at most.
+MOST_TOLD = 12
+
 
 class Fleet:
     """Targets by name and by service."""
@@ -63,6 +66,26 @@
             if not target.gone
         ]
 
+    def slow(self, now: float) -> dict[str, float]:
+        """Return the targets that this VM saw to be slow, the worst first."""
+        found = {
+            name: target.told_slowness(now)
+            for name, target in self._targets.items()
+        }
+        worst = sorted(found, key=found.__getitem__, reverse=True)
+        return {
+            name: round(found[name], 1)
+            for name in worst[:MOST_TOLD]
+            if found[name] > SLOW_FOLD
+        }
+
+    def advise(self, slow: Mapping[str, float], now: float) -> None:
+        """Take the targets that another VM saw to be slow."""
+        for name, slowness in slow.items():
+            target = self._targets.get(name)
+            if target is not None:
+                target.advise(slowness, now)
+
     def _arrange(self) -> None:
         services: dict[str, list[Target]] = {}
         for target in self._targets.values():
--- a/rosemaryweir/gateway/target.py
+++ b/rosemaryweir/gateway/target.py
@@ -8,12 +8,26 @@
 
 __all__ = ['Connection', 'Target']
 
-#: Weight of a new sample in what is known of speed and failures.
+#: Least weight of a new sample in what is known of speed and failures.
 SPEED_SHARE = 0.2
 FAILURE_SHARE = 0.25
-#: What was seen of a target is half forgotten after about this time without
-#: news, in seconds: a target that was passed over is tried again.
-MEMORY_S = 3.0
+#: A sample weighs more the longer ago the one before it was, in seconds: a VM
+#: of a large fleet sees few.
+SAMPLE_S = 1.0
+#: What was seen of a target fades within this time without news, in seconds:
+#: a target that was passed over is tried again.  One slow answer may be a
+#: pause; each further one makes it last longer.
+FIRST_MEMORY_S = 0.8
+MORE_MEMORY_S = 1.2
+MOST_SLOW = 4
+#: Failures fade within this time, in seconds.
+FAILURE_MEMORY_S = 3.0
+#: An answer this much slower than usual is a slow one.
+SLOW_FOLD = 2.5
+#: What another VM saw of a target fades within this time, in seconds.
+ADVICE_S = 1.5
+#: Slow answers in a row after which other VMs are told.
+TOLD_AFTER = 2
 #: Bounds of one sample of the speed, as a multiple of the usual latency.
 SPEED_BOUNDS = (0.25, 12.0)
 #: A connection that is still opening after this time tells that the target
@@ -119,6 +133,9 @@
         self._in_flight: dict[int, float] = {}
         self._opening: dict[int, float] = {}
         self._speed = 1.0
+        self._slow = 0
+        self._advised = 1.0
+        self._advised_at = now
         self._failing = 0.0
         self._seen = now
         self._losses = 0
@@ -140,12 +157,28 @@
         return late < now or begun + OPENING_PATIENCE_S < now
 
     def slowness(self, now: float) -> float:
-        """Return its latency as a multiple of the usual one."""
-        return 1 + (self._speed - 1) * self._memory(now)
+        """Return its latency as a multiple of the usual one.
+
+        The greater of what this VM saw and what others told of it.
+        """
+        advised = exp((self._advised_at - now) / ADVICE_S)
+        told = 1 + (self._advised - 1) * advised
+        return max(self._seen_slowness(now), told)
+
+    def told_slowness(self, now: float) -> float:
+        """Return the slowness to tell other VMs of; 1 for none."""
+        if self._slow < TOLD_AFTER:
+            return 1.0
+        return self._seen_slowness(now)
+
+    def advise(self, slowness: float, now: float) -> None:
+        """Take the slowness that another VM saw."""
+        self._advised = min(max(slowness, 1.0), SPEED_BOUNDS[1])
+        self._advised_at = now
 
     def failing(self, now: float) -> float:
         """Return the share of its answers that are failures."""
-        return self._failing * self._memory(now)
+        return self._failing * exp((self._seen - now) / FAILURE_MEMORY_S)
 
     def opens(self, conn: Connection, now: float) -> None:
         """Note a connection that is being opened."""
@@ -176,15 +209,17 @@
         """Take a good answer: its latency and the usual one, in seconds."""
         least, most = SPEED_BOUNDS
         sample = min(max(latency / max(usual, least / 1000), least), most)
-        speed = self.slowness(now)
+        speed = self._seen_slowness(now)
+        weight = max(SPEED_SHARE, 1 - exp((self._seen - now) / SAMPLE_S))
         self._failing = self.failing(now) * (1 - FAILURE_SHARE)
-        self._speed = speed + (sample - speed) * SPEED_SHARE
+        self._speed = speed + (sample - speed) * weight
+        self._slow = min(self._slow + 1, MOST_SLOW) if sample > SLOW_FOLD else 0
         self._seen = now
         self._losses = 0
 
     def failed(self, now: float) -> None:
         """Take an answer that is a failure, or none."""
-        speed = self.slowness(now)
+        speed = self._seen_slowness(now)
         failing = self.failing(now)
         self._failing = failing + (1 - failing) * FAILURE_SHARE
         self._speed = speed
@@ -208,5 +243,9 @@
         self._losses += 1
         self.rests_until = now + rest
 
+    def _seen_slowness(self, now: float) -> float:
+        return 1 + (self._speed - 1) * self._memory(now)
+
     def _memory(self, now: float) -> float:
-        return exp((self._seen - now) / MEMORY_S)
+        lasting = FIRST_MEMORY_S + MORE_MEMORY_S * self._slow
+        return exp((self._seen - now) / lasting)
--- a/rosemaryweir/gateway/tests/test_gateway.py
+++ b/rosemaryweir/gateway/tests/test_gateway.py
@@ -215,3 +215,30 @@
         assert all(a.status == 200 for _, a in rig.answers.values())
     assert max(total.values()) <= 4.0 * 5 + 1
     assert sum(total.values()) > 0
+
+
+def test_a_slow_target_is_avoided_after_two_answers():
+    # Load pattern: a large fleet, where each VM sees a target once in a while.
+    rig = query_rig()
+    warm(rig)
+    rig.targets['s3-0'].work = 0.12
+    for _ in range(8):
+        rig.ask()
+        rig.run(0.5)
+    before = len(rig.targets['s3-0'].arrivals)
+    for _ in range(6):
+        rig.ask()
+        rig.run(0.3)
+    assert len(rig.targets['s3-0'].arrivals) - before <= 2
+    assert rig.gateway.fleet.slow(rig.now).keys() == {'s3-0'}
+
+
+def test_a_target_that_others_saw_to_be_slow_is_avoided():
+    rig = query_rig()
+    warm(rig)
+    before = len(rig.targets['s3-0'].arrivals)
+    rig.gateway.fleet.advise({'s3-0': 8.0, 'unknown': 9.0}, rig.now)
+    for _ in range(10):
+        rig.ask()
+        rig.run(0.03)
+    assert len(rig.targets['s3-0'].arrivals) == before
--- a/rosemaryweir/platform/control.py
+++ b/rosemaryweir/platform/control.py
@@ -7,6 +7,7 @@
 
 from rosemaryweir.catalog.relay import Behind
 from rosemaryweir.catalog.table import Change
+from rosemaryweir.gateway.fleet import Fleet
 from rosemaryweir.platform import events, words
 from rosemaryweir.platform.belief import FOLLOWED, Belief
 from rosemaryweir.platform.settings import VmSettings
@@ -54,6 +55,8 @@
         Takes log events by number.
     on_news : callable
         Called when what is believed has changed.
+    fleet : Fleet
+        Targets: VMs tell each other which are slow.
     rng : random.Random
         Source of chance.
     """
@@ -64,6 +67,7 @@
         incarnation: int,
         write: Write,
         on_news: Callable[[], None],
+        fleet: Fleet,
         rng: Random,
     ) -> None:
         self.belief = Belief(self._learnt)
@@ -83,6 +87,8 @@
         self.members.lead(seed_addresses(settings))
         self._settings = settings
         self._write = write
+        self._slow = fleet.slow
+        self._advise = fleet.advise
         self._on_news = on_news
         self._behind = Behind()
         self._gossip = GossipPort(self._heard)
@@ -127,6 +133,7 @@
             load,
             self._follows(now),
             self.belief.newest(),
+            self._slow(now),
             now,
         )
         self._gossip.send(beat, addresses)
@@ -204,6 +211,7 @@
     def _heard(self, beat: Beat) -> None:
         now = _now()
         self.members.hear(beat, now)
+        self._advise(beat.slow, now)
         for kind in FOLLOWED:
             known = self.belief.known_up_to(kind)
             newest = beat.newest.get(kind, 0)
--- a/rosemaryweir/platform/store.py
+++ b/rosemaryweir/platform/store.py
@@ -186,13 +186,19 @@
         self._failures = 0
 
     async def run(self) -> None:
-        """Follow until cancelled."""
+        """Follow until cancelled.
+
+        The first list may be a stale one, at a tenth of the cost: what it
+        lacks comes by the watch, or from VMs that follow.
+        """
         fresh = True
+        stale = True
         while True:
             try:
                 if fresh or not self._listener.known_up_to(self._kind):
-                    await self._list()
+                    await self._list(stale)
                     fresh = False
+                    stale = False
                 if self._listener.should_follow(self._kind):
                     await self._watch()
                 else:
@@ -211,14 +217,14 @@
         # Spreads the calls of VMs that lost the store together.
         await asyncio.sleep(pause * (1 + random.random()) / 2)  # noqa: S311
 
-    async def _list(self) -> None:
+    async def _list(self, stale: bool) -> None:
         objects: list[Change] = []
-        page = await _page(self._link, self._kind, '')
+        page = await _page(self._link, self._kind, '', stale)
         revision = page.revision
         objects.extend(page.changes)
         while page.more and page.changes:
             last = page.changes[-1].name
-            page = await _page(self._link, self._kind, last)
+            page = await _page(self._link, self._kind, last, stale)
             objects.extend(page.changes)
         self._listener.listed(self._kind, objects, revision)
 
@@ -245,8 +251,16 @@
         self._listener.changed(self._kind, list(changes.values()), revision)
 
 
-async def _page(link: StoreLink, kind: str, after: str) -> _Page:
-    query = f'?{urlencode({"after": after})}' if after else ''
+async def _page(
+    link: StoreLink,
+    kind: str,
+    after: str,
+    stale: bool,
+) -> _Page:
+    asked = {'after': after} if after else {}
+    if stale:
+        asked['allow_stale'] = '1'
+    query = f'?{urlencode(asked)}' if asked else ''
     content = await _read(link, f'/objects/{quote(kind)}{query}', CALL_S)
     changes = [
         Change(name, revision, {} if spec is None else spec)
@@ -312,5 +326,5 @@
         If the store did not answer.
     """
     with _one_link(address) as link:
-        page = await _page(link, kind, '')
+        page = await _page(link, kind, '', stale=True)
     return page.changes
--- a/rosemaryweir/platform/vm.py
+++ b/rosemaryweir/platform/vm.py
@@ -68,14 +68,15 @@
         incarnation = SystemClock().incarnation()
         uid = NodeUid(settings.name, 'vm', incarnation)
         self._log = BoundedLog(EventLog(uid))
+        self.traffic = Traffic(settings, self._write, rng)
         self.control = Control(
             settings,
             incarnation,
             self._write,
             self._take_news,
+            self.traffic.gateway.fleet,
             rng,
         )
-        self.traffic = Traffic(settings, self._write, rng)
         ttl = min(TTL_S, settings.ttl_most)
         self._directory = Directory(self._addresses, ttl)
         self._ready = HttpServer(ready_handler(lambda: self.serving))
--- a/rosemaryweir/presence/members.py
+++ b/rosemaryweir/presence/members.py
@@ -35,6 +35,10 @@
 FORGOTTEN_S = 60.0
 #: VMs that hear each beat.
 FAN_OUT = 8
+#: The same of a larger fleet: most of them in the own failure domain, as
+#: bytes between failure domains are dear.
+NEAR_FAN_OUT = 6
+FAR_FAN_OUT = 2
 #: Other VMs that a beat tells of in full.
 TOLD = 4
 #: The same while VMs are still being found.
@@ -95,12 +99,15 @@
         What it knows of some other VMs.
     counts : dict of int to int
         Counts of all other VMs, by their keys.
+    slow : dict of str to float
+        Targets that it saw to be slow, and how many times slower.
     """
 
     sender: PeerNews
     newest: dict[str, int]
     others: list[PeerNews]
     counts: dict[int, int]
+    slow: dict[str, float] = {}
 
 
 class Peer(NamedTuple):
@@ -195,6 +202,7 @@
         load: float,
         follows: tuple[str, ...],
         newest: dict[str, int],
+        slow: dict[str, float],
         now: float,
     ) -> tuple[Beat, list[str]]:
         """Return the next heartbeat and the addresses it goes to."""
@@ -212,7 +220,7 @@
         counts = {
             _key(peer.news): peer.beat for peer in self._sample(recent, COUNTED)
         }
-        beat = Beat(self.own, newest, list(others), counts)
+        beat = Beat(self.own, newest, list(others), counts, slow)
         return beat, self._hearers(now, everyone=leaving)
 
     def alive(self, now: float) -> list[PeerNews]:
@@ -275,11 +283,17 @@
         ]
         for name in forgotten:
             self._names.pop(_key(self._peers.pop(name).news), None)
-        known = {peer.news.address for peer in self._peers.values()}
-        self._leads -= known
+        peers = [peer.news for peer in self._peers.values()]
+        self._leads.difference_update(news.address for news in peers)
+        leads = self._sample(sorted(self._leads), LEADS)
+        if everyone or len(peers) <= FAN_OUT:
+            return [*(news.address for news in peers), *leads]
+        near = [vm.address for vm in peers if vm.domain == self.own.domain]
+        far = [vm.address for vm in peers if vm.domain != self.own.domain]
         return [
-            *self._sample(sorted(known), len(known) if everyone else FAN_OUT),
-            *self._sample(sorted(self._leads), LEADS),
+            *self._sample(near, NEAR_FAN_OUT),
+            *self._sample(far, FAR_FAN_OUT),
+            *leads,
         ]
 
     def _sample(self, crowd: Sequence[Item], most: int) -> Sequence[Item]:
--- a/rosemaryweir/presence/tests/test_members.py
+++ b/rosemaryweir/presence/tests/test_members.py
@@ -16,10 +16,10 @@
 KIND = 'config'
 
 
-def news(number, domain='d0'):
+def news(number):
     return PeerNews(
         f'vm-{number}',
-        domain,
+        f'd{number % 3}',
         f'10.0.0.{number}:7740',
         f'10.0.0.{number}:8226',
         1,
@@ -58,7 +58,15 @@
     def _beat(self, address, members):
         follows = members.should_follow(KIND, self.now)
         kinds = (KIND,) if follows and address in self.following else ()
-        beat, hearers = members.beat(True, False, 0.1, kinds, {}, self.now)
+        beat, hearers = members.beat(
+            True,
+            False,
+            0.1,
+            kinds,
+            {},
+            {},
+            self.now,
+        )
         for hearer in hearers:
             reached = hearer not in self.down
             if reached and frozenset((address, hearer)) not in self.cut:
