--- a/rosemaryweir/gateway/target.py
+++ b/rosemaryweir/gateway/target.py
@@ -11,8 +11,8 @@
 #: Least weight of a new sample in what is known of speed and failures.
 SPEED_SHARE = 0.2
 FAILURE_SHARE = 0.25
-#: A sample weighs more the longer ago the one before it was, in seconds: a VM
-#: of a large fleet sees few.
+#: After a slow answer a sample weighs more the longer ago the one before it
+#: was, in seconds: a VM of a large fleet sees few.
 SAMPLE_S = 1.0
 #: What was seen of a target fades within this time without news, in seconds:
 #: a target that was passed over is tried again.  One slow answer may be a
@@ -210,7 +210,10 @@
         least, most = SPEED_BOUNDS
         sample = min(max(latency / max(usual, least / 1000), least), most)
         speed = self._seen_slowness(now)
-        weight = max(SPEED_SHARE, 1 - exp((self._seen - now) / SAMPLE_S))
+        weight = SPEED_SHARE
+        if self._slow:
+            # No pause: what it is like now counts for more than before.
+            weight = max(weight, 1 - exp((self._seen - now) / SAMPLE_S))
         self._failing = self.failing(now) * (1 - FAILURE_SHARE)
         self._speed = speed + (sample - speed) * weight
         self._slow = min(self._slow + 1, MOST_SLOW) if sample > SLOW_FOLD else 0
--- a/rosemaryweir/gateway/timing.py
+++ b/rosemaryweir/gateway/timing.py
@@ -23,9 +23,10 @@
 #: Time that an answer takes back to its caller, and the request took to come,
 #: in seconds: callers are about 3 ms away.
 WAY_S = 0.0033
-#: Time that this process needs for the answer itself, in seconds: half a
-#: millisecond was measured, and a timer fires up to one late.
+#: Time that this process needs to take a request and to answer it, and for
+#: each shard's reply, in seconds: on a VM with half a core.
 ANSWER_S = 0.002
+SHARD_S = 0.00015
 #: Shortest and longest time after which a caller is asked back, in seconds.
 RETURN_BOUNDS_S = (0.02, 1.0)
 #: Callers come back spread over this share of the time.
@@ -34,8 +35,10 @@
 UNSTATED_S = 30.0
 
 
-#: Weight of a timer's delay in what is known of them; it fades faster.
-LAG_SHARE = 0.2
+#: Weight of a timer's delay in what is known of them: what is worse counts
+#: at once, what is better slowly, so that most timers are earlier than told.
+WORSE_SHARE = 0.4
+BETTER_SHARE = 0.03
 
 
 class Lag:
@@ -58,7 +61,9 @@
 
     def fired(self, due: float, now: float) -> None:
         """Count a timer that was due and fires now."""
-        self.seconds += (now - due - self.seconds) * LAG_SHARE
+        more = now - due - self.seconds
+        share = WORSE_SHARE if more > 0 else BETTER_SHARE
+        self.seconds += more * share
 
 
 class Clockwork:
@@ -117,7 +122,8 @@
     """
     # A new connection costs the caller a way there and back before it asks.
     ways = 4 if ask.first else 2
-    return now + route.aim - spent - ways * WAY_S - ANSWER_S - lag
+    own = ANSWER_S + SHARD_S * len(route.shards) + lag
+    return now + route.aim - spent - ways * WAY_S - own
 
 
 def retry_after(queue: float, rest: float, rng: Random) -> float:
--- a/rosemaryweir/platform/store.py
+++ b/rosemaryweir/platform/store.py
@@ -34,6 +34,9 @@
 WATCH_MARGIN_S = 0.5
 #: Time after which a VM that doesn't follow looks whether it has to, in s.
 ASIDE_S = 0.2
+#: Least and longest time after the first list before a VM follows, in
+#: seconds: by then it has heard of VMs that do.
+SETTLE_S = (0.6, 1.8)
 #: Pauses after failed calls, in seconds.
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
@@ -157,6 +160,10 @@
         """Return whether this VM is to watch a kind itself."""
 
 
+async def _settle() -> None:
+    await asyncio.sleep(random.uniform(*SETTLE_S))  # noqa: S311
+
+
 @contextmanager
 def _one_link(address: str) -> Iterator[StoreLink]:
     link = StoreLink(address)
@@ -198,6 +205,8 @@
                 if fresh or not self._listener.known_up_to(self._kind):
                     await self._list(stale)
                     fresh = False
+                    if stale:
+                        await _settle()
                     stale = False
                 if self._listener.should_follow(self._kind):
                     await self._watch()
--- a/rosemaryweir/platform/tests/test_vm.py
+++ b/rosemaryweir/platform/tests/test_vm.py
@@ -220,6 +220,12 @@
         async with asyncio.timeout(20):
             while (await site.get('/order/7')).status != 404:
                 await asyncio.sleep(0.02)
+        # Kinds of objects are followed apart: the target's may come later.
+        async with asyncio.timeout(20):
+            while (await site.get('/sweep/1')).headers[
+                'x-missing-parts'
+            ] == '0':
+                await asyncio.sleep(0.02)
         before = len(site.targets['s0'].seen)
         reply = await site.get('/sweep/1')
         assert reply.headers['x-missing-parts'] == '1'
