--- a/rosemaryweir/platform/control.py
+++ b/rosemaryweir/platform/control.py
@@ -91,7 +91,7 @@
         self._advise = fleet.advise
         self._on_news = on_news
         self._behind = Behind()
-        self._gossip = GossipPort(self._heard)
+        self._gossip = GossipPort(self.hear)
         self._relay = RelayServer(self.belief.relay)
         self._lost: set[str] = set()
         #: When the store last answered, by kind, while this VM follows it.
@@ -138,6 +138,22 @@
         )
         self._gossip.send(beat, addresses)
 
+    def hear(self, beat: Beat) -> None:
+        """Take a heartbeat of another VM."""
+        now = _now()
+        self.members.hear(beat, now)
+        self._advise(beat.slow, now)
+        if words.TARGETS_KIND in beat.sender.follows:
+            # The store answers others: what they tell of it is as good as
+            # its own word, also for a VM that makes no calls to it.
+            self.belief.lapses.answered(now)
+        for kind in FOLLOWED:
+            known = self.belief.known_up_to(kind)
+            newest = beat.newest.get(kind, 0)
+            following = kind in self.members.own.follows
+            if self._behind.ask(kind, known, newest, now, following):
+                self.spawn(self._catch_up(beat.sender.address, kind, known))
+
     def expire(self) -> None:
         """Give up targets whose entries did not come back."""
         if self.belief.expire(_now()):
@@ -208,17 +224,6 @@
         fields = {'kind': words.VMS_KIND, 'why': repr(exc)}
         self._write(events.STORE_LOST, fields)
 
-    def _heard(self, beat: Beat) -> None:
-        now = _now()
-        self.members.hear(beat, now)
-        self._advise(beat.slow, now)
-        for kind in FOLLOWED:
-            known = self.belief.known_up_to(kind)
-            newest = beat.newest.get(kind, 0)
-            following = kind in self.members.own.follows
-            if self._behind.ask(kind, known, newest, now, following):
-                self.spawn(self._catch_up(beat.sender.address, kind, known))
-
     async def _catch_up(self, address: str, kind: str, known: int) -> None:
         fields: dict[str, Any] = {
             'kind': kind,
