Callers are sent to large VMs; connections and slack go by size; relayed changes are packed

Load pattern: 79 VMs, six of them with four times the processor of the others. Callers were sent to all alike; a query of 36 shards takes 53 ms of its 70 to 147 ms on a small VM, and each VM meets each target once a second, so that connections go cold and slow targets are learnt late.

Change: presence/directory.py names large VMs of the own failure domain while an even share of the load suits them, then large ones anywhere, then all near ones, then all. gateway/quota.py gives large VMs the connections that near small ones leave, and four fifths of the slack of extra sends; a VM takes no part in the slack in its first 4 s, when it may not know the others.

Ruled out: the store's watch (it told its followers at once), decoding (under 0.1 s).

--- a/rosemaryweir/gateway/match.py
+++ b/rosemaryweir/gateway/match.py
@@ -31,19 +31,23 @@
     """
 
     def __init__(self, routes: Iterable[Route]) -> None:
-        self._hosts: dict[str, list[Route]] = {}
-        for route in sorted(routes, key=_longest_first):
-            self._hosts.setdefault(route.host.lower(), []).append(route)
+        self._hosts: dict[str, dict[str, Route]] = {}
+        for route in routes:
+            known = self._hosts.setdefault(route.host.lower(), {})
+            known.setdefault(route.prefix, route)
+        # One look-up for each length of a prefix: a host may have thousands
+        # of routes.
+        self._lengths = {
+            host: sorted({len(prefix) for prefix in known}, reverse=True)
+            for host, known in self._hosts.items()
+        }
 
     def find(self, host: str, target: str) -> Route | None:
         """Return the route of a host header and a request target."""
         path = target.partition('?')[0]
-        routes = self._hosts.get(host.partition(':')[0].lower(), ())
-        return next(
-            (route for route in routes if path.startswith(route.prefix)),
-            None,
+        name = host.partition(':')[0].lower()
+        routes = self._hosts.get(name, {})
+        found = (
+            routes.get(path[:length]) for length in self._lengths.get(name, ())
         )
-
-
-def _longest_first(route: Route) -> int:
-    return -len(route.prefix)
+        return next(filter(None, found), None)
--- a/rosemaryweir/gateway/quota.py
+++ b/rosemaryweir/gateway/quota.py
@@ -3,14 +3,17 @@
 Load pattern: a target resets what comes beyond its limit, and there are more
 VMs than it accepts connections.  Then not every VM may use every target: its
 own failure domain comes first, and of the other VMs as many as fit, chosen by
-rank so that all agree without a word.
+rank so that all agree without a word.  Where VMs differ in size, callers are
+sent to the largest: these get what the near ones leave.
 """
 
 from collections.abc import Iterable
 from hashlib import blake2b
 from typing import NamedTuple
 
-__all__ = ['ConnectionShares', 'VmPlace']
+from rosemaryweir.presence.sizes import by_size
+
+__all__ = ['ConnectionShares', 'VmPlace', 'slack_share']
 
 #: Part of a target's limit that is used: VMs that join need room before all
 #: the others have heard of them.
@@ -22,11 +25,17 @@
 NEAR_SHARE = 0.6
 
 
+#: Part of what is divided beside traffic that the largest VMs get, where VMs
+#: differ in size: callers are sent to these.
+LARGE_SHARE = 0.8
+
+
 class VmPlace(NamedTuple):
-    """A VM and its failure domain."""
+    """A VM, its failure domain and its processor cores."""
 
     name: str
     domain: str
+    capacity: float = 1.0
 
 
 class ConnectionShares:
@@ -85,21 +94,65 @@
         return known
 
     def _share(self, target: str, domain: str, usable: int) -> int:
-        if usable >= len(self._vms):
-            return min(MOST, usable // len(self._vms))
-        near = [vm for vm in self._vms if vm.domain == domain]
+        if usable >= len(self._vms) * MOST:
+            return MOST
+        large = _large(self._vms)
+        small = self._vms - large
+        near = sum(vm.domain == domain for vm in small)
+        each = min(MOST, (usable - near) // len(large)) if large else 0
+        if not small or each < 1:
+            return self._ranked(self._vms, target, domain, usable)
+        if self._own in large:
+            return each
+        return self._ranked(small, target, domain, usable - each * len(large))
+
+    def _ranked(
+        self,
+        vms: frozenset[VmPlace],
+        target: str,
+        domain: str,
+        usable: int,
+    ) -> int:
+        """Divide connections among VMs of which all count the same."""
+        if usable >= len(vms):
+            return min(MOST, usable // len(vms))
+        near = [vm for vm in vms if vm.domain == domain]
         each = max(1, int(usable * NEAR_SHARE) // max(1, len(near)))
         rest = usable - each * len(near)
         if self._own.domain == domain and rest >= 0:
             return min(MOST, each)
-        rivals = [vm for vm in self._vms if vm.domain == self._own.domain]
+        rivals = [vm for vm in vms if vm.domain == self._own.domain]
         if self._own.domain != domain:
-            rivals = [vm for vm in self._vms if vm.domain != domain]
+            rivals = [vm for vm in vms if vm.domain != domain]
         places = rest if self._own.domain != domain else usable
         before = _rank(target, self._own)
         ahead = sum(_rank(target, vm) < before for vm in rivals)
         return int(ahead < places)
 
 
+def slack_share(own: VmPlace, vms: Iterable[VmPlace]) -> float:
+    """Return the part of a VM in what all VMs may do together.
+
+    Examples
+    --------
+    >>> vms = [VmPlace('a', 'd', 2.0), *(VmPlace(f'{n}', 'd') for n in 'bcde')]
+    >>> [round(slack_share(vm, vms), 2) for vm in vms]
+    [0.8, 0.05, 0.05, 0.05, 0.05]
+    """
+    crowd = frozenset((own, *vms))
+    large = _large(crowd)
+    if not large:
+        return 1 / len(crowd)
+    if own in large:
+        return LARGE_SHARE / len(large)
+    return (1 - LARGE_SHARE) / len(crowd - large)
+
+
+def _large(vms: frozenset[VmPlace]) -> frozenset[VmPlace]:
+    """Return the largest VMs; none where all are of one size."""
+    sizes = by_size(vms)
+    return frozenset(sizes[0]) if len(sizes) > 1 else frozenset()
+
+
 def _rank(target: str, vm: VmPlace) -> bytes:
     return blake2b(f'{target}/{vm.name}'.encode(), digest_size=8).digest()
--- a/rosemaryweir/gateway/spending.py
+++ b/rosemaryweir/gateway/spending.py
@@ -27,17 +27,22 @@
         Extra sends of the whole fleet beside those.
     window : float
         Length of the window in seconds.
+
+    Attributes
+    ----------
+    share : float
+        Part of this VM in the extra sends beside requests.
     """
 
     def __init__(self, ratio: float, slack: float, window: float) -> None:
         self.ratio = ratio
         self.slack = slack
         self.window = window
-        self.vms = 1
+        self.share = 1.0
 
     def allowance(self, requests: int) -> float:
         """Return the extra sends that go with requests of this VM."""
-        return SHARE_USED * (self.ratio * requests + self.slack / self.vms)
+        return SHARE_USED * (self.ratio * requests + self.slack * self.share)
 
 
 class ExtraSends:
--- a/rosemaryweir/platform/__main__.py
+++ b/rosemaryweir/platform/__main__.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import sys
+from collections.abc import Callable
 
 import fire
 
@@ -11,6 +12,7 @@
 from rosemaryweir.platform.settings import VmSettings, read_settings
 from rosemaryweir.platform.vm import Vm, settings_path
 from rosemaryweir.telemetry.bounded import line_writer
+from rosemaryweir.transport.waiting import WaitingSelector
 
 EXIT_FINDINGS = 2
 
@@ -42,11 +44,20 @@
     # What was made at start lives on: it need not be looked through again.
     gc.collect()
     gc.freeze()
-    asyncio.run(_run(found, path, metrics_port))
+    selector = WaitingSelector()
+    with asyncio.Runner(
+        loop_factory=lambda: asyncio.SelectorEventLoop(selector),
+    ) as runner:
+        runner.run(_run(found, path, metrics_port, lambda: selector.waited))
 
 
-async def _run(settings: VmSettings, path: str, metrics_port: int) -> None:
-    await Vm(settings, path, metrics_port).run()
+async def _run(
+    settings: VmSettings,
+    path: str,
+    metrics_port: int,
+    waited: Callable[[], float],
+) -> None:
+    await Vm(settings, path, metrics_port, waited).run()
 
 
 if __name__ == '__main__':
--- a/rosemaryweir/platform/control.py
+++ b/rosemaryweir/platform/control.py
@@ -82,6 +82,7 @@
             ready=False,
             leaving=False,
             load=float(0),
+            capacity=settings.capacity,
         )
         self.members = Members(own, rng)
         self.members.lead(seed_addresses(settings))
--- a/rosemaryweir/platform/settings.py
+++ b/rosemaryweir/platform/settings.py
@@ -28,6 +28,9 @@
         Address of the platform's store.
     memory_mb : int
         Memory that a process may use, in MB.
+    capacity : float
+        Processor cores of the usual speed: the share of a core, times how
+        much faster it is.
     grace : float
         Seconds between SIGTERM and SIGKILL.
     ttl_most : float
@@ -50,6 +53,7 @@
     seeds: tuple[str, ...]
     store: str
     memory_mb: int
+    capacity: float
     grace: float
     ttl_most: float
     extra_ratio: float
@@ -123,6 +127,9 @@
         seeds=reader.parts('seeds'),
         store=reader.text('platform.address'),
         memory_mb=reader.number('limits.memory_mb', int, 200),
+        # The platform counts a core of threefold speed as three cores.
+        capacity=reader.number('limits.cpu_share', float, 1)
+        * reader.number('limits.cpu_cores', float, 1),
         grace=reader.number('bounds.grace_s', float, 6),
         ttl_most=reader.number('bounds.ttl_max_s', float, 5),
         extra_ratio=reader.number('bounds.retry_budget_ratio', float, 0.1),
--- a/rosemaryweir/platform/tests/test_vm.py
+++ b/rosemaryweir/platform/tests/test_vm.py
@@ -75,7 +75,7 @@
         text = text.replace('127.0.0.1:8227', ready)
         text = text.replace('127.0.0.1:8225', directory)
         text = text.replace('7740', peer.rpartition(':')[2])
-        self.vm = Vm(parse_settings(text), 'settings', 0)
+        self.vm = Vm(parse_settings(text), 'settings', 0, lambda: 0.0)
         self.task = asyncio.create_task(self.vm.run())
         async with asyncio.timeout(20):
             while not self.vm.serving:
--- a/rosemaryweir/platform/traffic.py
+++ b/rosemaryweir/platform/traffic.py
@@ -16,7 +16,7 @@
     TargetReply,
 )
 from rosemaryweir.gateway.gateway import Gateway
-from rosemaryweir.gateway.quota import VmPlace
+from rosemaryweir.gateway.quota import VmPlace, slack_share
 from rosemaryweir.gateway.spending import SpendingRule
 from rosemaryweir.platform.belief import Belief
 from rosemaryweir.platform.callers import CallerFront
@@ -30,6 +30,9 @@
 #: Largest body of a caller before a configuration sets the limit, in bytes.
 FIRST_BODY_BYTES = 262_144
 MS_PER_SECOND = 1000
+#: Time after the start in which a VM may not know all others yet, and takes
+#: no part of what they may do together, in seconds: beats find them in 3 s.
+SETTLE_S = 4.0
 NEVER = float('inf')
 
 Write = Callable[[int, Mapping[str, Any]], None]
@@ -60,13 +63,14 @@
             settings.extra_window,
         )
         limits = HttpLimits(body_bytes=FIRST_BODY_BYTES)
-        own = VmPlace(settings.name, settings.domain)
+        own = VmPlace(settings.name, settings.domain, settings.capacity)
         self.latencies = HistogramSet()
         self.gateway = Gateway(own, rule, rng)
         self.front = CallerFront(self._ask, self._left, limits)
         self._links = TargetLinks(self._opened, self._replied, self._broken)
         self._write = write
         self._timer: asyncio.TimerHandle | None = None
+        self._started = _now()
         self._wakes_at = NEVER
         self._performers: Mapping[type, Callable[[Any], None]] = {
             SendAttempt: self._links.send,
@@ -87,7 +91,9 @@
         """Take the VMs that share what the targets bear."""
         places = tuple(vms)
         self.gateway.sender.shares.update(places)
-        self.gateway.rule.vms = len(places)
+        settled = _now() - self._started >= SETTLE_S
+        share = slack_share(self.gateway.sender.shares.own, places)
+        self.gateway.rule.share = share if settled else float(0)
 
     def apply(self, belief: Belief) -> None:
         """Put what is believed in force."""
--- a/rosemaryweir/platform/vm.py
+++ b/rosemaryweir/platform/vm.py
@@ -3,8 +3,7 @@
 import asyncio
 import os
 import signal
-import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from random import Random
 from typing import Any
 
@@ -24,6 +23,7 @@
 from rosemaryweir.telemetry.exposition import exposition
 from rosemaryweir.transport.exchange import Exchange
 from rosemaryweir.transport.http_server import HttpServer
+from rosemaryweir.transport.waiting import BusyShare
 
 __all__ = ['Vm', 'settings_path']
 
@@ -52,6 +52,8 @@
         Where they stand, to be read again.
     metrics_port : int
         Port of the metrics page; 0 for none.
+    waited : callable
+        Returns the seconds that the event loop has waited so far.
     """
 
     def __init__(
@@ -59,12 +61,14 @@
         settings: VmSettings,
         path: str,
         metrics_port: int,
+        waited: Callable[[], float],
     ) -> None:
         self._settings = settings
         self._path = path
         self._metrics_port = metrics_port
         # Chance only spreads load here; no secret hangs on it.
         rng = Random()  # noqa: S311
+        self._rng = rng
         incarnation = SystemClock().incarnation()
         uid = NodeUid(settings.name, 'vm', incarnation)
         self._log = BoundedLog(EventLog(uid))
@@ -83,8 +87,8 @@
         self._metrics = HttpServer(self._expose)
         self._leaving = False
         self._stopped = asyncio.Event()
-        self._used = time.process_time()
-        self._load = float(0)
+        self._waited = waited
+        self._busy = BusyShare(_now(), waited())
 
     @property
     def serving(self) -> bool:
@@ -163,16 +167,15 @@
         while True:
             self._send_beat()
             await asyncio.sleep(BEAT_S)
-            used = time.process_time()
-            # A running mean over two beats.
-            self._load = (self._load + (used - self._used) / BEAT_S) / 2
-            self._used = used
+            self._busy.update(_now(), self._waited())
             self.control.expire()
 
     def _send_beat(self) -> None:
-        self.control.beat(self.serving, self._leaving, self._load)
+        self.control.beat(self.serving, self._leaving, self._busy.share)
         alive = self.control.members.alive(_now())
-        self.traffic.share(VmPlace(vm.name, vm.domain) for vm in alive)
+        self.traffic.share(
+            VmPlace(vm.name, vm.domain, vm.capacity) for vm in alive
+        )
 
     def _take_news(self) -> None:
         self.traffic.apply(self.control.belief)
@@ -182,7 +185,7 @@
 
     def _addresses(self, domain: str) -> list[str]:
         serving = self.control.members.serving(_now())
-        return caller_addresses(serving, domain)
+        return caller_addresses(serving, domain, self._rng)
 
     def _expose(self, exchange: Exchange) -> None:
         gateway = self.traffic.gateway
@@ -190,7 +193,7 @@
             gateway.counts,
             {
                 'requests': len(gateway),
-                'load': self._load,
+                'load': self._busy.share,
                 'vms': len(self.control.members.alive(_now())),
                 'config_version': gateway.config.version
                 if gateway.config
--- a/rosemaryweir/presence/directory.py
+++ b/rosemaryweir/presence/directory.py
@@ -1,26 +1,47 @@
-"""Which VMs callers are told to use."""
+"""Which VMs callers are told to use.
 
-from collections.abc import Sequence
+Load pattern: VMs of unequal size, few of them large.  A query needs a piece
+of processor time for each shard; on a small VM these add up to most of the
+time that its caller has, on a large one to a quarter of it.  Callers choose
+at random among the addresses that they are told, so that a list of large and
+small ones gives each the same share: a list holds VMs of one size as long as
+these bear the load.  Few VMs also keep their connections to targets in use
+and learn sooner which targets are slow.
+"""
+
+from collections.abc import Iterator, Sequence
+from random import Random
 
 from rosemaryweir.presence.members import PeerNews
+from rosemaryweir.presence.sizes import by_size
 
 __all__ = ['caller_addresses']
 
 #: Addresses of one answer.
 MOST_NAMED = 64
-#: VMs of the caller's failure domain without which others are named as well:
-#: a caller needs somewhere to go when one of them fails.
-LEAST_NEAR = 2
-#: A VM this much busier than the idlest one is left out, as a share of its
-#: processor.
+#: Fewest VMs of a list: a caller needs somewhere to go when one of them
+#: fails.
+LEAST_NAMED = 2
+#: Share of its processor that a VM may have in use for callers: half as much
+#: again, as in a burst, still leaves it room.
+FULL_LOAD = 0.55
+#: Share of its processor that a VM needs without callers.
+IDLE_LOAD = 0.03
+#: A VM this much busier than the idlest one of its list is left out, as a
+#: share of its processor.
 BUSY_MARGIN = 0.4
 
 
-def caller_addresses(serving: Sequence[PeerNews], domain: str) -> list[str]:
+def caller_addresses(
+    serving: Sequence[PeerNews],
+    domain: str,
+    rng: Random,
+) -> list[str]:
     """Return the addresses to use, of VMs that serve.
 
-    Those in the caller's own failure domain, where there are enough of them:
-    the way is shorter, and nothing crosses failure domains twice.
+    Large VMs of the caller's own failure domain, where they bear its load;
+    else large ones of all failure domains, then all VMs of the own one, then
+    all.
 
     Parameters
     ----------
@@ -28,12 +49,51 @@
         VMs that are ready and not leaving.
     domain : str
         Failure domain of the caller.
+    rng : random.Random
+        Chooses where there are more VMs than an answer holds.
     """
-    if not serving:
-        return []
-    least = min(news.load for news in serving)
-    calm = [news for news in serving if news.load <= least + BUSY_MARGIN]
-    near = [news for news in calm if news.domain == domain]
-    named = near if len(near) >= LEAST_NEAR else calm
-    ranked = sorted(named, key=lambda news: (news.load, news.name))
-    return [news.caller_address for news in ranked[:MOST_NAMED]]
+    named = next(
+        (
+            chosen
+            for chosen, replaced in _lists(serving, domain)
+            if _suffices(chosen, replaced)
+        ),
+        serving,
+    )
+    calm = _without_busy(named)
+    if len(calm) > MOST_NAMED:
+        calm = rng.sample(calm, MOST_NAMED)
+    return sorted(news.caller_address for news in calm)
+
+
+def _lists(
+    serving: Sequence[PeerNews],
+    domain: str,
+) -> Iterator[tuple[Sequence[PeerNews], Sequence[PeerNews]]]:
+    """Yield lists of VMs, each with those whose load it would take over."""
+    near = [news for news in serving if news.domain == domain]
+    sizes = by_size(serving)
+    for count in range(1, len(sizes) + 1):
+        large = [news for size in sizes[:count] for news in size]
+        yield [news for news in large if news.domain == domain], near
+        yield large, serving
+
+
+def _suffices(
+    chosen: Sequence[PeerNews],
+    replaced: Sequence[PeerNews],
+) -> bool:
+    """Return whether an even share of the load suits the smallest VM."""
+    if len(chosen) < LEAST_NAMED:
+        return False
+    work = sum(
+        max(float(0), news.load - IDLE_LOAD) * news.capacity
+        for news in replaced
+    )
+    smallest = min(news.capacity for news in chosen)
+    return work <= FULL_LOAD * smallest * len(chosen)
+
+
+def _without_busy(named: Sequence[PeerNews]) -> Sequence[PeerNews]:
+    least = min((news.load for news in named), default=0)
+    return [news for news in named if news.load <= least + BUSY_MARGIN]
--- a/rosemaryweir/presence/members.py
+++ b/rosemaryweir/presence/members.py
@@ -70,6 +70,8 @@
         Whether it serves, and whether it is about to end.
     load : float
         Share of its processor that is in use.
+    capacity : float
+        Processor cores that it has, counted as cores of the usual speed.
     follows : tuple of str
         Kinds of objects that the store tells it of at the moment.
     """
@@ -83,6 +85,7 @@
     ready: bool
     leaving: bool
     load: float
+    capacity: float = 1.0
     follows: tuple[str, ...] = ()
 
 
--- a/rosemaryweir/presence/tests/test_members.py
+++ b/rosemaryweir/presence/tests/test_members.py
@@ -101,7 +101,7 @@
     for address, members in fleet.vms.items():
         if address not in fleet.down:
             serving = members.serving(fleet.now)
-            named = caller_addresses(serving, 'd0')
+            named = caller_addresses(serving, 'd0', Random(1))
             assert '10.0.0.5:8226' not in named
 
 
--- a/rosemaryweir/transport/gossip.py
+++ b/rosemaryweir/transport/gossip.py
@@ -1,6 +1,7 @@
 """Heartbeats between VMs by datagram, and changes on request by HTTP."""
 
 import asyncio
+import zlib
 from collections.abc import Callable
 from contextlib import closing
 from urllib.parse import parse_qs, urlsplit
@@ -21,6 +22,11 @@
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 CHANGES_PATH = '/v1/changes'
+#: Routes of a large configuration differ little: even the fastest level
+#: makes them a tenth, and all VMs ask within a second for them.
+PACK_LEVEL = 1
+#: Most bytes of an answer once it is unpacked.
+MOST_UNPACKED = 64 * 1024 * 1024
 _DECODER = msgspec.msgpack.Decoder(RelayAnswer)
 
 
@@ -105,7 +111,7 @@
         if answer is None:
             exchange.refuse(HTTP_NOT_FOUND, 'unknown', exchange.request.path)
         else:
-            exchange.reply(HTTP_OK, msgspec.msgpack.encode(answer))
+            exchange.reply(HTTP_OK, pack_answer(answer))
 
 
 class _OneReply:
@@ -159,7 +165,34 @@
             reply = await waiter.reply
     if reply.status != HTTP_OK:
         raise ConnectionError(f'status {reply.status}')
+    return unpack_answer(reply.body)
+
+
+def pack_answer(answer: RelayAnswer) -> bytes:
+    """Return the bytes of an answer.
+
+    Examples
+    --------
+    >>> answer = RelayAnswer(7, True, [('a', 7, {'b': 1})])
+    >>> unpack_answer(pack_answer(answer)) == answer
+    True
+    """
+    return zlib.compress(msgspec.msgpack.encode(answer), PACK_LEVEL)
+
+
+def unpack_answer(packed: bytes) -> RelayAnswer:
+    """Return the answer that these bytes hold.
+
+    Raises
+    ------
+    ValueError
+        If they hold none.
+    """
     try:
-        return _DECODER.decode(reply.body)
-    except msgspec.MsgspecError as exc:
+        unpacker = zlib.decompressobj()
+        plain = unpacker.decompress(packed, MOST_UNPACKED)
+        if not unpacker.eof:
+            raise ValueError('not an answer: cut or too large')
+        return _DECODER.decode(plain)
+    except (zlib.error, msgspec.MsgspecError) as exc:
         raise ValueError(f'not an answer: {exc}') from exc
