A VM that is cut off keeps to its part of the extra sends

Cause: the slack was divided among the VMs that are heard. A VM that others can't reach, but that reaches targets, took the whole slack while the others divided it again: up to twice the allowance. With four fifths of it on a few large VMs that would come sooner.

Change: a VM that fell silent keeps its part for two windows of the allowance. The test failed before: the cut VM knew one VM, not six.

--- a/rosemaryweir/platform/traffic.py
+++ b/rosemaryweir/platform/traffic.py
@@ -87,12 +87,19 @@
         rule.slack = settings.extra_slack
         rule.window = settings.extra_window
 
-    def share(self, vms: Iterable[VmPlace]) -> None:
-        """Take the VMs that share what the targets bear."""
-        places = tuple(vms)
-        self.gateway.sender.shares.update(places)
+    def share(self, alive: Iterable[VmPlace], known: Iterable[VmPlace]) -> None:
+        """Take the VMs that share what the targets bear.
+
+        Parameters
+        ----------
+        alive : iterable of VmPlace
+            Those that have connections to targets.
+        known : iterable of VmPlace
+            Those that may spend extra sends, silent ones among them.
+        """
+        self.gateway.sender.shares.update(alive)
         settled = _now() - self._started >= SETTLE_S
-        share = slack_share(self.gateway.sender.shares.own, places)
+        share = slack_share(self.gateway.sender.shares.own, known)
         self.gateway.rule.share = share if settled else float(0)
 
     def apply(self, belief: Belief) -> None:
--- a/rosemaryweir/platform/vm.py
+++ b/rosemaryweir/platform/vm.py
@@ -18,7 +18,7 @@
 from rosemaryweir.platform.settings import VmSettings, read_settings
 from rosemaryweir.platform.traffic import Traffic
 from rosemaryweir.presence.directory import caller_addresses
-from rosemaryweir.presence.members import BEAT_S
+from rosemaryweir.presence.members import BEAT_S, PeerNews
 from rosemaryweir.telemetry.bounded import BoundedLog
 from rosemaryweir.telemetry.exposition import exposition
 from rosemaryweir.transport.exchange import Exchange
@@ -172,9 +172,10 @@
 
     def _send_beat(self) -> None:
         self.control.beat(self.serving, self._leaving, self._busy.share)
-        alive = self.control.members.alive(_now())
+        members = self.control.members
         self.traffic.share(
-            VmPlace(vm.name, vm.domain, vm.capacity) for vm in alive
+            map(_place, members.alive(_now())),
+            map(_place, members.known(_now())),
         )
 
     def _take_news(self) -> None:
@@ -217,5 +218,9 @@
     return os.environ.get(words.SETTINGS_VARIABLE, '')
 
 
+def _place(news: PeerNews) -> VmPlace:
+    return VmPlace(news.name, news.domain, news.capacity)
+
+
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/rosemaryweir/presence/members.py
+++ b/rosemaryweir/presence/members.py
@@ -33,6 +33,9 @@
 SPREAD_S = 0.4
 #: A VM that has been silent for this long is forgotten, in seconds.
 FORGOTTEN_S = 60.0
+#: A silent VM keeps its part in what all VMs may do together for this long, in
+#: seconds: two windows of the allowance of extra sends.
+SHARING_S = 20.0
 #: VMs that hear each beat.
 FAN_OUT = 8
 #: The same of a larger fleet: most of them in the own failure domain, as
@@ -230,6 +233,21 @@
         """Return this VM and those heard of lately."""
         return [self.own, *(peer.news for peer in self._recent(now))]
 
+    def known(self, now: float) -> list[PeerNews]:
+        """Return this VM and all that may share what targets bear.
+
+        Those that fell silent lately are among them: they may be cut off
+        from this VM only, and spend their part all the same.
+        """
+        return [
+            self.own,
+            *(
+                peer.news
+                for peer in self._peers.values()
+                if now - peer.heard < SHARING_S and not peer.news.leaving
+            ),
+        ]
+
     def serving(self, now: float) -> list[PeerNews]:
         """Return the VMs that callers may be sent to."""
         return [
--- a/rosemaryweir/presence/tests/test_members.py
+++ b/rosemaryweir/presence/tests/test_members.py
@@ -145,3 +145,20 @@
         if members.should_follow(KIND, fleet.now) and address not in refused
     ]
     assert len(others) >= FOLLOWERS
+
+
+def test_a_vm_that_is_cut_off_keeps_to_its_part():
+    # It sees itself alone, and the others go on without it: each must leave
+    # the other its part in the extra sends that targets bear.
+    fleet = Fleet(6, seed=2)
+    fleet.run(6)
+    lone = '10.0.0.4:7740'
+    fleet.cut = {
+        frozenset((lone, address)) for address in fleet.vms if address != lone
+    }
+    fleet.run(10)
+    assert len(fleet.alive(lone)) == 1
+    assert len(fleet.vms[lone].known(fleet.now)) == 6
+    assert len(fleet.vms['10.0.0.0:7740'].known(fleet.now)) == 6
+    fleet.run(20)
+    assert len(fleet.vms[lone].known(fleet.now)) == 1
