--- a/rosemaryweir/gateway/gateway.py
+++ b/rosemaryweir/gateway/gateway.py
@@ -9,22 +9,30 @@
 from collections.abc import Collection, Mapping
 from random import Random
 
-from rosemaryweir.gateway import events
 from rosemaryweir.gateway.action import (
     Action,
     Answer,
     Ask,
-    Note,
     TargetReply,
 )
+from rosemaryweir.gateway.answering import (
+    HTTP_UNAVAILABLE,
+    failure,
+    merged,
+    passed_on,
+)
 from rosemaryweir.gateway.fleet import Fleet
 from rosemaryweir.gateway.job import Attempt, Job, Piece
 from rosemaryweir.gateway.match import RouteTable
 from rosemaryweir.gateway.model import Configuration, Route, TargetEntry
+from rosemaryweir.gateway.notes import (
+    note_of_end,
+    note_of_lost_piece,
+    note_of_refusal,
+)
 from rosemaryweir.gateway.outcome import Outcome, outcome_of
 from rosemaryweir.gateway.pace import Pace
 from rosemaryweir.gateway.quota import VmPlace
-from rosemaryweir.gateway.records import greatest
 from rosemaryweir.gateway.sender import Sender
 from rosemaryweir.gateway.spending import ExtraSends, SpendingRule
 from rosemaryweir.gateway.split import WeightedTurns
@@ -40,16 +48,10 @@
 
 __all__ = ['Gateway']
 
-HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 HTTP_BAD_REQUEST = 400
-HTTP_BAD_GATEWAY = 502
-HTTP_UNAVAILABLE = 503
-HTTP_TIMEOUT = 504
 #: Sends of one piece, those included that were turned away.
 MOST_SENDS = 5
-#: Targets that one log line names at most.
-MOST_NAMED = 6
 #: One success in so many is logged.
 LOGGED_SHARE = 50
 
@@ -326,7 +328,8 @@
             piece.over = True
         elif not piece.open and not self._again(piece, now):
             piece.over = True
-            self._note_lost(piece, attempt, outcome, now)
+            note = note_of_lost_piece(piece, attempt, outcome, now)
+            self.sender.out.append(note)
         if self._decided(job, now):
             self._finish(job, now)
 
@@ -379,62 +382,26 @@
 
     def _finish(self, job: Job, now: float) -> None:
         """Give the final answer."""
-        if job.route.shards:
-            answer = self._merged(job, now)
-        else:
-            answer = self._passed_on(job, now)
+        answer = self._final(job, now)
         self._jobs.pop(job.ask.req, None)
-        name, took = job.route.name, now - job.came
-        self._answer(answer._replace(route=name, took=took))
+        self._answer(answer)
         self._note_end(job, answer, now)
         self._retire(job, now)
 
+    def _final(self, job: Job, now: float) -> Answer:
+        if job.route.shards:
+            answer = merged(job) if job.enough() else None
+        else:
+            answer = passed_on(job)
+        if answer is None:
+            answer = failure(job, self._return_after(job, now), now)
+        return answer._replace(route=job.route.name, took=now - job.came)
+
     def _retire(self, job: Job, now: float) -> None:
         job.answered = True
         for piece in job.pieces:
             self._drop_rivals(piece, now)
 
-    def _merged(self, job: Job, now: float) -> Answer:
-        if not job.enough():
-            return self._failure(job, now)
-        replies = [piece.reply for piece in job.pieces if piece.reply]
-        body = greatest((reply.body for reply in replies), job.route.top)
-        missing = len(job.pieces) - len(replies)
-        return Answer(
-            job.ask.req,
-            HTTP_OK,
-            body=body,
-            signatures=tuple(reply.signature for reply in replies),
-            missing=missing,
-        )
-
-    def _passed_on(self, job: Job, now: float) -> Answer:
-        reply = job.pieces[0].reply
-        if reply is None:
-            return self._failure(job, now)
-        return Answer(
-            job.ask.req,
-            reply.status,
-            reply.headers,
-            reply.body,
-            reason='' if reply.status < HTTP_BAD_REQUEST else 'target failed',
-        )
-
-    def _failure(self, job: Job, now: float) -> Answer:
-        if not job.may_have_run:
-            reason = 'no target took it'
-            wait = self._return_after(job, now)
-            return Answer(
-                job.ask.req,
-                HTTP_UNAVAILABLE,
-                retry_after=wait,
-                reason=reason,
-            )
-        late = now >= job.deadline
-        status = HTTP_TIMEOUT if late else HTTP_BAD_GATEWAY
-        reason = 'no answer in time' if late else 'targets failed'
-        return Answer(job.ask.req, status, reason=reason)
-
     def _refuse(
         self,
         ask: Ask,
@@ -448,20 +415,12 @@
             HTTP_UNAVAILABLE,
             retry_after=wait,
             reason=reason,
+            route=job.route.name if job else '',
         )
         self._answer(answer)
-        self.sender.out.append(
-            Note(
-                events.REFUSED,
-                {
-                    'request': ask.request_id,
-                    'route': job.route.name if job else '',
-                    'version': self.config.version if self.config else 0,
-                    'reason': reason,
-                    'retry_after': wait,
-                },
-            ),
-        )
+        version = self.config.version if self.config else 0
+        note = note_of_refusal(answer, ask.request_id, version)
+        self.sender.out.append(note)
 
     def _return_after(self, job: Job, now: float) -> float:
         lanes = [self.sender.lane(piece.service) for piece in job.pieces]
@@ -488,56 +447,8 @@
             if name.startswith('answers_')
         )
         plain = not answer.reason and not answer.missing and not job.hedges
-        if plain and ended % LOGGED_SHARE:
-            return
-        number = events.FAILED if answer.reason else events.ANSWERED
-        self.sender.out.append(
-            Note(
-                number,
-                {
-                    'request': job.ask.request_id,
-                    'route': job.route.name,
-                    'version': job.version,
-                    'status': answer.status,
-                    'took_ms': round((now - job.came) * 1000, 1),
-                    'aim_ms': round((job.aim - job.came) * 1000, 1),
-                    'deadline_ms': round((job.deadline - job.came) * 1000, 1),
-                    'covered': job.covered,
-                    'shards': len(job.pieces),
-                    'hedges': job.hedges,
-                    'missing': [
-                        piece.service
-                        for piece in job.pieces
-                        if piece.reply is None
-                    ],
-                    'owed': _owed(job, now),
-                    'repeated': _repeated(job),
-                    'reason': answer.reason,
-                },
-            ),
-        )
-
-    def _note_lost(
-        self,
-        piece: Piece,
-        attempt: Attempt,
-        outcome: Outcome,
-        now: float,
-    ) -> None:
-        self.sender.out.append(
-            Note(
-                events.PIECE_LOST,
-                {
-                    'request': piece.job.ask.request_id,
-                    'service': piece.service,
-                    'target': attempt.target,
-                    'sends': piece.sends,
-                    'after_ms': round((now - attempt.sent) * 1000, 1),
-                    'outcome': outcome.kind,
-                    'reason': outcome.reason,
-                },
-            ),
-        )
+        if not plain or ended % LOGGED_SHARE == 0:
+            self.sender.out.append(note_of_end(job, answer, now))
 
     def _pace(self, route: Route) -> Pace:
         known = self._paces.get(route.name)
@@ -568,24 +479,3 @@
         out = self.sender.out
         self.sender.out = []
         return out
-
-
-def _owed(job: Job, now: float) -> list[str]:
-    """Return the targets that owe a reply, with their time in ms."""
-    found = [
-        f'{attempt.target} {round((now - attempt.sent) * 1000)}'
-        for piece in job.pieces
-        if piece.reply is None
-        for attempt in piece.open
-    ]
-    return found[:MOST_NAMED]
-
-
-def _repeated(job: Job) -> list[str]:
-    """Return the services that were sent to more than once, with a count."""
-    found = [
-        f'{piece.service} {piece.sends}'
-        for piece in job.pieces
-        if piece.sends > 1
-    ]
-    return found[:MOST_NAMED]
--- a/rosemaryweir/platform/control.py
+++ b/rosemaryweir/platform/control.py
@@ -20,7 +20,12 @@
     list_own,
     write_own,
 )
-from rosemaryweir.presence.members import Beat, Members, PeerNews
+from rosemaryweir.presence.members import (
+    Beat,
+    Members,
+    PeerNews,
+    abandoned,
+)
 from rosemaryweir.transport.gossip import (
     GossipPort,
     RelayServer,
@@ -33,6 +38,9 @@
 WRITE_PAUSE_S = 1.0
 #: Time that a leaving VM has to remove its own object, in seconds.
 REMOVE_S = 1.0
+#: Time after its start at which a VM removes what those that are gone left in
+#: the store, in seconds: longer than a restart, or most cuts, take.
+SWEEP_S = 120.0
 #: A VM counts as told by the store for so long after an answer, in seconds:
 #: the length of a watch and some delay.
 FOLLOWED_S = WATCH_S + WATCH_MARGIN_S
@@ -87,6 +95,7 @@
         self.members = Members(own, rng)
         self.members.lead(seed_addresses(settings))
         self._settings = settings
+        self._rng = rng
         self._write = write
         self._slow = fleet.slow
         self._advise = fleet.advise
@@ -213,8 +222,39 @@
                 for change in found
                 if 'address' in change.content
             )
+            self.spawn(self._sweep())
             return
 
+    async def _sweep(self) -> None:
+        """Remove objects of VMs that are gone, and never said so.
+
+        Each VM looks at the names behind its own, the last one at the first:
+        a list tells at most a page of them.
+        """
+        await asyncio.sleep(SWEEP_S * (1 + self._rng.random()))
+        store, kind = self._settings.store, words.VMS_KIND
+        try:
+            found = await list_own(store, kind, self._settings.name)
+            found = found or await list_own(store, kind)
+            await self._remove_abandoned(found)
+        except StoreError as exc:
+            self._own_object_failed(exc)
+
+    async def _remove_abandoned(self, found: list[Change]) -> None:
+        known = (vm.name for vm in self.members.known(_now()))
+        gone = abandoned((change.name for change in found), known)
+        for change in found:
+            if change.name in gone:
+                # One after the other: the store bears few writes at once.
+                await delete_own(  # noqa: WPS476
+                    self._settings.store,
+                    words.VMS_KIND,
+                    change.name,
+                    change.revision,
+                )
+                fields = {'vm': change.name, 'revision': change.revision}
+                self._write(events.VM_REMOVED, fields)
+
     async def _find_others(self) -> list[Change]:
         store = self._settings.store
         spec = {'address': self.members.own.address}
--- a/rosemaryweir/platform/events.py
+++ b/rosemaryweir/platform/events.py
@@ -13,6 +13,7 @@
     'STOPPING',
     'STORE_LOST',
     'STORE_REGAINED',
+    'VM_REMOVED',
 ]
 
 STARTED = register_event(
@@ -59,6 +60,12 @@
     'info',
     'Changes came from another VM, since the store had not told them.',
 )
+VM_REMOVED = register_event(
+    857,
+    'store.vm_removed',
+    'info',
+    'The object of a VM that is gone was removed from the store.',
+)
 LEARNT: Mapping[str, int] = {
     'config': register_event(
         860,
--- a/rosemaryweir/platform/store.py
+++ b/rosemaryweir/platform/store.py
@@ -314,26 +314,48 @@
             await link.call('PUT', path, content)
 
 
-async def delete_own(address: str, kind: str, name: str) -> None:
+async def delete_own(
+    address: str,
+    kind: str,
+    name: str,
+    revision: int = 0,
+) -> None:
     """Remove an object of ours; it may be gone already.
 
+    Parameters
+    ----------
+    address, kind, name : str
+        The store and the object.
+    revision : int
+        Only as of this revision; an object that has changed since stays.
+
     Raises
     ------
     StoreError
-        If the store did not confirm it.
+        If the store did not answer.
     """
+    path = f'/objects/{kind}/{quote(name)}'
+    if revision:
+        path = f'{path}?revision={revision}'
     with _one_link(address) as link:
-        await link.call('DELETE', f'/objects/{kind}/{quote(name)}')
+        await link.call('DELETE', path)
 
 
-async def list_own(address: str, kind: str) -> list[Change]:
+async def list_own(address: str, kind: str, after: str = '') -> list[Change]:
     """Return the objects of a kind of ours, at most one page of them.
 
+    Parameters
+    ----------
+    address, kind : str
+        The store and the kind.
+    after : str
+        Only names behind this one.
+
     Raises
     ------
     StoreError
         If the store did not answer.
     """
     with _one_link(address) as link:
-        page = await _page(link, kind, '', stale=True)
+        page = await _page(link, kind, after, stale=True)
     return page.changes
--- a/rosemaryweir/platform/tests/store.py
+++ b/rosemaryweir/platform/tests/store.py
@@ -113,9 +113,7 @@
     def _write(self, exchange, kind, name):
         method = exchange.request.method
         if method == 'DELETE':
-            if (kind, name) in self.objects:
-                self.delete(kind, name)
-            exchange.reply_json(200, {})
+            self._delete(exchange, kind, name)
             return
         content = json.loads(exchange.request.body)
         name = name or content['meta']['name']
@@ -124,3 +122,16 @@
             return
         self.put(kind, name, content['spec'])
         exchange.reply_json(200, self.objects[kind, name])
+
+    def _delete(self, exchange, kind, name):
+        query = parse_qs(urlsplit(exchange.request.path).query)
+        item = self.objects.get((kind, name))
+        if item is None:
+            exchange.reply_json(404, {})
+        elif query.get('revision', [str(item['meta']['revision'])])[0] != str(
+            item['meta']['revision'],
+        ):
+            exchange.reply_json(409, item)
+        else:
+            self.delete(kind, name)
+            exchange.reply_json(200, {})
--- a/rosemaryweir/platform/tests/test_control.py
+++ b/rosemaryweir/platform/tests/test_control.py
@@ -6,9 +6,11 @@
 from rosemaryweir.catalog.relay import RelayAnswer
 from rosemaryweir.catalog.table import Change
 from rosemaryweir.gateway.fleet import Fleet
+from rosemaryweir.platform import words
 from rosemaryweir.platform.control import Control
 from rosemaryweir.platform.settings import parse_settings
-from rosemaryweir.platform.store import StoreError
+from rosemaryweir.platform.store import StoreError, list_own
+from rosemaryweir.platform.tests.store import FakeStore
 from rosemaryweir.platform.tests.test_settings import WHOLE
 from rosemaryweir.platform.tests.test_vm import server
 from rosemaryweir.presence.members import Beat, PeerNews
@@ -37,8 +39,8 @@
     return RelayAnswer(change.revision, False, [tuple(change)])
 
 
-def control_of():
-    settings = parse_settings(WHOLE)
+def control_of(store='127.0.0.1:8229'):
+    settings = parse_settings(WHOLE.replace('127.0.0.1:8229', store))
     control = Control(
         settings,
         1,
@@ -85,3 +87,32 @@
         assert TARGET in control.belief.targets
 
     asyncio.run(scenario())
+
+
+def test_what_vms_that_are_gone_left_in_the_store_is_removed():
+    # Thousands of VMs are replaced a day, most without a word.
+    async def scenario():
+        store = FakeStore()
+        control = control_of(await store.http.start('127.0.0.1:0'))
+        for name in ('vm-1', 'vm-2', 'vm-3'):
+            store.put(words.VMS_KIND, name, {'address': '127.0.0.9:1'})
+        found = await list_own(control._settings.store, words.VMS_KIND)
+        # Nobody was heard: this VM may be the one that is cut off.
+        await control._remove_abandoned(found)
+        assert len(store.objects) == 3
+        control.hear(beat(1, ()))
+        listed = [
+            Change(name, item['meta']['revision'], item['spec'])
+            for (_, name), item in store.objects.items()
+        ]
+        # It comes back between the list and the removal: its object stays.
+        store.put(words.VMS_KIND, 'vm-3', {'address': '127.0.0.9:2'})
+        await control._remove_abandoned(listed)
+        assert len(store.objects) == 3
+        listed[-1] = listed[-1]._replace(revision=store.revision)
+        await control._remove_abandoned(listed)
+        names = {name for _, name in store.objects}
+        assert names == {'vm-1', 'vm-2'}
+        await store.http.stop()
+
+    asyncio.run(scenario())
--- a/rosemaryweir/presence/members.py
+++ b/rosemaryweir/presence/members.py
@@ -18,6 +18,7 @@
     'Members',
     'Peer',
     'PeerNews',
+    'abandoned',
     'pack',
     'silence',
     'unpack',
@@ -136,6 +137,31 @@
     return SILENT_S + SPREAD_S * max(0, log2(vms / heard_by))
 
 
+def abandoned(listed: Iterable[str], heard: Iterable[str]) -> set[str]:
+    """Return the VMs that are registered and gone for good.
+
+    None where fewer than half of those registered were heard: then it may be
+    this VM that the others can't reach.
+
+    Parameters
+    ----------
+    listed : iterable of str
+        Names of registered VMs.
+    heard : iterable of str
+        Names of VMs that were heard lately.
+
+    Examples
+    --------
+    >>> abandoned(['a', 'b', 'c'], ['a', 'b'])
+    {'c'}
+    >>> abandoned(['a', 'b', 'c'], ['a'])
+    set()
+    """
+    names = set(listed)
+    silent = names.difference(heard)
+    return silent if len(silent) * 2 < len(names) else set()
+
+
 def _key(news: PeerNews) -> int:
     """Return a short name of one incarnation of a VM."""
     text = f'{news.name}/{news.incarnation}'.encode()
