Callers far from all targets are sent to where these are; few beats leave a failure domain

And each of 74 VMs told two VMs elsewhere of all others twice a second.

Change: the directory counts in which failure domains the shards of the configuration in force have targets that may be used (Fleet.reach); one with less than half of the best reach leaves its callers to the others, also when it is taken out. Of a failure domain six beats leave in all at each round, not two a VM; while VMs are being found, two a VM as before. A VM tells all it knows in each, and near ones tell each other on.

--- a/rosemaryweir/gateway/fleet.py
+++ b/rosemaryweir/gateway/fleet.py
@@ -1,5 +1,6 @@
 """The targets of each service, as far as they may be used."""
 
+from collections import Counter
 from collections.abc import Collection, Mapping
 
 from rosemaryweir.gateway.model import TargetEntry
@@ -66,6 +67,25 @@
             if not target.gone
         ]
 
+    def reach(self, services: Collection[str]) -> dict[str, float]:
+        """Return the share of services that each failure domain can serve.
+
+        Parameters
+        ----------
+        services : collection of str
+            The services that count.
+        """
+        found = Counter(
+            domain
+            for service in services
+            for domain in {
+                target.entry.domain for target in self.usable(service)
+            }
+        )
+        return {
+            domain: count / len(services) for domain, count in found.items()
+        }
+
     def slow(self, now: float) -> dict[str, float]:
         """Return the targets that this VM saw to be slow, the worst first."""
         found = {
--- a/rosemaryweir/gateway/gateway.py
+++ b/rosemaryweir/gateway/gateway.py
@@ -144,6 +144,10 @@
             self.sender.release(target)
         return self._take()
 
+    def reach(self) -> dict[str, float]:
+        """Return the share of all shards that each failure domain holds."""
+        return self.fleet.reach(self._table.shards)
+
     def ask(self, ask: Ask, now: float) -> list[Action]:
         """Take a caller's request."""
         if self.config is None:
--- a/rosemaryweir/gateway/match.py
+++ b/rosemaryweir/gateway/match.py
@@ -15,6 +15,11 @@
     routes : iterable of Route
         The routes of one version of the configuration.
 
+    Attributes
+    ----------
+    shards : frozenset of str
+        Services that hold a shard of any query.
+
     Examples
     --------
     >>> from rosemaryweir.gateway.model import ServiceShare
@@ -31,8 +36,12 @@
     """
 
     def __init__(self, routes: Iterable[Route]) -> None:
+        listed = tuple(routes)
+        self.shards = frozenset(
+            service for route in listed for service in route.shards
+        )
         self._hosts: dict[str, dict[str, Route]] = {}
-        for route in routes:
+        for route in listed:
             known = self._hosts.setdefault(route.host.lower(), {})
             known.setdefault(route.prefix, route)
         # One look-up for each length of a prefix: a host may have thousands
--- a/rosemaryweir/platform/traffic.py
+++ b/rosemaryweir/platform/traffic.py
@@ -54,6 +54,8 @@
     ----------
     latencies : HistogramSet
         Latency of answers by route and status.
+    reach : dict of str to float
+        Share of the shards that each failure domain holds targets of.
     """
 
     def __init__(self, settings: VmSettings, write: Write, rng: Random) -> None:
@@ -65,6 +67,7 @@
         limits = HttpLimits(body_bytes=FIRST_BODY_BYTES)
         own = VmPlace(settings.name, settings.domain, settings.capacity)
         self.latencies = HistogramSet()
+        self.reach: dict[str, float] = {}
         self.gateway = Gateway(own, rule, rng)
         self.front = CallerFront(self._ask, self._left, limits)
         self._links = TargetLinks(self._opened, self._replied, self._broken)
@@ -111,6 +114,7 @@
         self._perform(
             self.gateway.register(belief.targets, belief.domains_out, _now()),
         )
+        self.reach = self.gateway.reach()
 
     def _ask(self, ask: Ask) -> None:
         self._perform(self.gateway.ask(ask, _now()))
--- a/rosemaryweir/platform/vm.py
+++ b/rosemaryweir/platform/vm.py
@@ -186,7 +186,8 @@
 
     def _addresses(self, domain: str) -> list[str]:
         serving = self.control.members.serving(_now())
-        return caller_addresses(serving, domain, self._rng)
+        reach = self.traffic.reach
+        return caller_addresses(serving, domain, reach, self._rng)
 
     def _expose(self, exchange: Exchange) -> None:
         gateway = self.traffic.gateway
--- a/rosemaryweir/presence/directory.py
+++ b/rosemaryweir/presence/directory.py
@@ -7,9 +7,13 @@
 small ones gives each the same share: a list holds VMs of one size as long as
 these bear the load.  Few VMs also keep their connections to targets in use
 and learn sooner which targets are slow.
+
+A VM in a failure domain without targets asks every shard in another one:
+callers there are better served by VMs where the targets are, since only one
+request and one answer cross failure domains then.
 """
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from random import Random
 
 from rosemaryweir.presence.members import PeerNews
@@ -30,11 +34,15 @@
 #: A VM this much busier than the idlest one of its list is left out, as a
 #: share of its processor.
 BUSY_MARGIN = 0.4
+#: A failure domain suits callers when it holds targets of at least this part of
+#: the services that the best one holds.
+LEAST_REACH = 0.5
 
 
 def caller_addresses(
     serving: Sequence[PeerNews],
     domain: str,
+    reach: Mapping[str, float],
     rng: Random,
 ) -> list[str]:
     """Return the addresses to use, of VMs that serve.
@@ -49,13 +57,16 @@
         VMs that are ready and not leaving.
     domain : str
         Failure domain of the caller.
+    reach : mapping of str to float
+        Share of the services that a failure domain holds targets of.
     rng : random.Random
         Chooses where there are more VMs than an answer holds.
     """
+    near = _suitable(domain, reach)
     named = next(
         (
             chosen
-            for chosen, replaced in _lists(serving, domain)
+            for chosen, replaced in _lists(serving, near)
             if _suffices(chosen, replaced)
         ),
         serving,
@@ -66,16 +77,32 @@
     return sorted(news.caller_address for news in calm)
 
 
+def _suitable(domain: str, reach: Mapping[str, float]) -> frozenset[str]:
+    """Return the failure domains whose VMs suit a caller.
+
+    Examples
+    --------
+    >>> sorted(_suitable('a', {'a': 0.9, 'b': 1.0}))
+    ['a']
+    >>> sorted(_suitable('c', {'a': 0.9, 'b': 1.0}))
+    ['a', 'b']
+    """
+    least = LEAST_REACH * max(reach.values(), default=0)
+    if reach.get(domain, 0) >= least:
+        return frozenset((domain,))
+    return frozenset(name for name, share in reach.items() if share >= least)
+
+
 def _lists(
     serving: Sequence[PeerNews],
-    domain: str,
+    domains: frozenset[str],
 ) -> Iterator[tuple[Sequence[PeerNews], Sequence[PeerNews]]]:
     """Yield lists of VMs, each with those whose load it would take over."""
-    near = [news for news in serving if news.domain == domain]
+    near = [news for news in serving if news.domain in domains]
     sizes = by_size(serving)
     for count in range(1, len(sizes) + 1):
         large = [news for size in sizes[:count] for news in size]
-        yield [news for news in large if news.domain == domain], near
+        yield [news for news in large if news.domain in domains], near
         yield large, serving
 
 
--- a/rosemaryweir/presence/members.py
+++ b/rosemaryweir/presence/members.py
@@ -39,10 +39,13 @@
 SHARING_S = 20.0
 #: VMs that hear each beat.
 FAN_OUT = 8
-#: The same of a larger fleet: most of them in the own failure domain, as
-#: bytes between failure domains are dear.
+#: The same in the own failure domain.
 NEAR_FAN_OUT = 6
-FAR_FAN_OUT = 2
+#: Beats that leave a failure domain in all, each time its VMs beat: any of
+#: them tells what all know, and bytes between failure domains are dear.
+FAR_BEATS = 6
+#: Such beats of one VM at least, while VMs are still being found.
+FAR_WHILE_NEW = 2
 #: Other VMs that a beat tells of in full.
 TOLD = 4
 #: The same while VMs are still being found.
@@ -333,16 +336,25 @@
         peers = [peer.news for peer in self._peers.values()]
         self._leads.difference_update(news.address for news in peers)
         leads = self._sample(sorted(self._leads), LEADS)
-        if everyone or len(peers) <= FAN_OUT:
+        if everyone:
             return [*(news.address for news in peers), *leads]
         near = [vm.address for vm in peers if vm.domain == self.own.domain]
         far = [vm.address for vm in peers if vm.domain != self.own.domain]
         return [
             *self._sample(near, NEAR_FAN_OUT),
-            *self._sample(far, FAR_FAN_OUT),
+            *self._sample(far, self._far_beats(now)),
             *leads,
         ]
 
+    def _far_beats(self, now: float) -> int:
+        """Return this VM's part of the beats that leave its failure domain."""
+        sharing = sum(vm.domain == self.own.domain for vm in self.alive(now))
+        part = FAR_BEATS / sharing
+        if now - self._found < NEW_S:
+            part = max(part, FAR_WHILE_NEW)
+        # Rounded by chance, so that the parts add up.
+        return int(part + self._rng.random())
+
     def _sample(self, crowd: Sequence[Item], most: int) -> Sequence[Item]:
         if len(crowd) <= most:
             return crowd
--- a/rosemaryweir/presence/tests/test_directory.py
+++ b/rosemaryweir/presence/tests/test_directory.py
@@ -8,6 +8,7 @@
 from rosemaryweir.presence.members import PeerNews
 
 DOMAINS = ('d0', 'd1', 'd2')
+WHOLE = dict.fromkeys(DOMAINS, 1.0)
 
 
 def vm(number, domain, capacity=1.0, load=0.03):
@@ -32,8 +33,8 @@
     return large, small
 
 
-def named(serving, domain='d0'):
-    found = set(caller_addresses(serving, domain, Random(1)))
+def named(serving, domain='d0', reach=WHOLE):
+    found = set(caller_addresses(serving, domain, reach, Random(1)))
     return [one for one in serving if one.caller_address in found]
 
 
@@ -86,4 +87,19 @@
 
 
 def test_nobody_serves():
-    assert caller_addresses([], 'd0', Random(1)) == []
+    assert caller_addresses([], 'd0', {}, Random(1)) == []
+
+
+def test_callers_far_from_all_targets_are_sent_to_where_these_are():
+    # Asked from there, each of 36 shards would cross failure domains.
+    large, small = grown(load=0.3)
+    reach = {'d1': 1.0, 'd2': 1.0}
+    found = named(large + small, 'd0', reach)
+    assert found == [one for one in large if one.domain != 'd0']
+    assert {one.domain for one in named(large, 'd1', reach)} == {'d1'}
+
+
+def test_a_vm_that_knows_no_targets_names_near_ones():
+    large, small = grown(load=0.3)
+    found = named(large + small, 'd0', {})
+    assert found == [one for one in large if one.domain == 'd0']
--- a/rosemaryweir/presence/tests/test_members.py
+++ b/rosemaryweir/presence/tests/test_members.py
@@ -101,7 +101,7 @@
     for address, members in fleet.vms.items():
         if address not in fleet.down:
             serving = members.serving(fleet.now)
-            named = caller_addresses(serving, 'd0', Random(1))
+            named = caller_addresses(serving, 'd0', {'d0': 1.0}, Random(1))
             assert '10.0.0.5:8226' not in named
 
 
@@ -162,3 +162,18 @@
     assert len(fleet.vms['10.0.0.0:7740'].known(fleet.now)) == 6
     fleet.run(20)
     assert len(fleet.vms[lone].known(fleet.now)) == 1
+
+
+def test_few_beats_leave_a_failure_domain():
+    # Each tells of all VMs; bytes between failure domains are dear.
+    fleet = Fleet(79, seed=7)
+    fleet.run(12)
+    far = 0
+    for members in fleet.vms.values():
+        for _ in range(10):
+            _, hearers = members.beat(True, False, 0, (), {}, {}, fleet.now)
+            far += sum(
+                fleet.vms[hearer].own.domain != members.own.domain
+                for hearer in hearers
+            )
+    assert far / 10 <= 3 * 6 * 1.3
