make demo shows the VM program; stand-ins of the platform's store and targets

Change: platform/standin holds store and target (moved from the tests, which use them), a small site on loopback and callers who ask the directory; each merged answer is checked against the partials that it names. tools/demo_vms.sh starts three VMs as plain processes and tells one to end after 6 s.

--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 
 demo: setup
 	tools/demo.sh $(BIN)/python $(DEPLOYMENT)
+	tools/demo_vms.sh $(BIN)/python
 
 test: setup
 	$(BIN)/python -m pytest -n 6
--- /dev/null
+++ b/rosemaryweir/platform/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins of the users' platform: its store, its targets, its callers."""
--- a/rosemaryweir/platform/tests/test_control.py
+++ b/rosemaryweir/platform/tests/test_control.py
@@ -12,10 +12,10 @@
 from rosemaryweir.platform import words
 from rosemaryweir.platform.control import Control
 from rosemaryweir.platform.settings import parse_settings
+from rosemaryweir.platform.standin.store import StandInStore
+from rosemaryweir.platform.standin.targets import registration
 from rosemaryweir.platform.store import StoreError, list_own
-from rosemaryweir.platform.tests.store import FakeStore
 from rosemaryweir.platform.tests.test_settings import WHOLE
-from rosemaryweir.platform.tests.test_vm import server
 from rosemaryweir.presence.members import Beat, PeerNews
 
 KIND = 'servers'
@@ -52,7 +52,7 @@
         Fleet(),
         Random(1),
     )
-    spec = server('desk', '127.0.0.1:80')
+    spec = registration('desk', '127.0.0.1:80')
     control.listed(KIND, [Change(TARGET, 5, spec)], 5)
     return control
 
@@ -83,7 +83,7 @@
         now = asyncio.get_running_loop().time()
         control.belief.relayed(KIND, relay(Change(TARGET, 9)), now)
         assert TARGET in control.belief.targets
-        spec = server('desk', '127.0.0.1:80')
+        spec = registration('desk', '127.0.0.1:80')
         again = relay(Change(TARGET, 11, spec))
         control.belief.relayed(KIND, again, now + 1)
         control.belief.expire(now + 2.1)
@@ -143,7 +143,7 @@
 def test_what_vms_that_are_gone_left_in_the_store_is_removed():
     # Thousands of VMs are replaced a day, most without a word.
     async def scenario():
-        store = FakeStore()
+        store = StandInStore()
         control = control_of(await store.http.start('127.0.0.1:0'))
         for name in ('vm-1', 'vm-2', 'vm-3'):
             store.put(words.VMS_KIND, name, {'address': '127.0.0.9:1'})
--- a/rosemaryweir/platform/tests/test_store.py
+++ b/rosemaryweir/platform/tests/test_store.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from rosemaryweir.platform.standin.store import StandInStore
 from rosemaryweir.platform.store import (
     Follower,
     StoreError,
@@ -12,7 +13,6 @@
     list_own,
     write_own,
 )
-from rosemaryweir.platform.tests.store import FakeStore
 
 
 class Listener:
@@ -43,7 +43,7 @@
 
 def play(scenario):
     async def run():
-        store = FakeStore()
+        store = StandInStore()
         address = await store.http.start('127.0.0.1:0')
         listener = Listener()
         task = asyncio.create_task(Follower(address, 'servers', listener).run())
--- a/rosemaryweir/platform/tests/test_vm.py
+++ b/rosemaryweir/platform/tests/test_vm.py
@@ -6,11 +6,11 @@
 import pytest
 
 from rosemaryweir.platform.settings import parse_settings
-from rosemaryweir.platform.tests.store import FakeStore
+from rosemaryweir.platform.standin.store import StandInStore
+from rosemaryweir.platform.standin.targets import StandInTarget, registration
 from rosemaryweir.platform.tests.test_settings import WHOLE
 from rosemaryweir.platform.vm import Vm
 from rosemaryweir.transport.fetch import fetch
-from rosemaryweir.transport.http_server import HttpServer
 
 PORTS = 19000
 SHARDS = tuple(f's{number}' for number in range(4))
@@ -23,43 +23,13 @@
 ID = ('x-request-id', 'abc')
 
 
-class FakeTarget:
-    """Answers every request with one record, or as its mode says."""
-
-    def __init__(self, name):
-        self.name = name
-        self.mode = 'good'
-        self.seen = []
-        self.http = HttpServer(self._take)
-
-    def _take(self, exchange):
-        request = exchange.request
-        self.seen.append(request)
-        if self.mode == 'cut':
-            exchange.abort()
-            return
-        name = request.headers['x-request-id']
-        if self.mode == 'stray':
-            name = 'other'
-        headers = [('x-request-id', name)]
-        if request.headers['x-expect-instance'] != self.name:
-            exchange.reply(421, b'', headers)
-        elif self.mode == 'full':
-            exchange.reply(503, b'', [*headers, ('x-not-executed', '1')])
-        else:
-            signature = f'{self.name}.{request.headers["x-request-id"]}'
-            headers.append(('x-response-stamp', signature))
-            headers.append(('keep-alive', 'timeout=5'))
-            exchange.reply(200, self.name.ljust(16).encode(), headers)
-
-
 class Site:
     """One VM, its store and one target a service."""
 
     def __init__(self, first_port):
-        self.store = FakeStore()
-        self.targets = {name: FakeTarget(f'i-{name}') for name in SHARDS}
-        self.targets['orders'] = FakeTarget('i-orders')
+        self.store = StandInStore()
+        self.targets = {name: StandInTarget(f'i-{name}') for name in SHARDS}
+        self.targets['orders'] = StandInTarget('i-orders')
         self.ports = [f'127.0.0.1:{first_port + at}' for at in range(4)]
         self.task = None
 
@@ -68,7 +38,7 @@
         front, ready, directory, peer = self.ports
         for name, target in self.targets.items():
             where = await target.http.start('127.0.0.1:0')
-            self.store.put('servers', target.name, server(name, where))
+            self.store.put('servers', target.name, registration(name, where))
         self.store.put('config', 'main', configuration())
         text = WHOLE.replace('127.0.0.1:8229', address)
         text = text.replace('127.0.0.1:8226', front)
@@ -94,20 +64,6 @@
         return await fetch(self.ports[0], method, path, headers, body)
 
 
-def server(service, address, **changes):
-    return {
-        'service': service,
-        'address': address,
-        'zone': 'd0',
-        'version': 'v1',
-        'slots': 3,
-        'state': 'ready',
-        'cold_remaining_ms': 0,
-        'seq': 1,
-        **changes,
-    }
-
-
 def configuration(version=1, **changes):
     route = {'name': 'sweep', 'host': '127.0.0.1', 'path_prefix': '/sweep/'}
     query = {
@@ -212,7 +168,7 @@
 def test_changes_of_the_store_come_into_force():
     async def scenario(site):
         where = site.store.objects['servers', 'i-s0']['spec']['address']
-        leaving = server('s0', where, state='draining')
+        leaving = registration('s0', where, state='draining')
         site.store.put('servers', 'i-s0', leaving)
         site.store.put('servers', 'i-alien', {'service': 3})
         routes = configuration()['routes'][:1]
