--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -4,20 +4,7 @@
 set -euo pipefail
 python=$1
 deployment=$2
-folder=$(mktemp -d)
-pids=()
-
-finish() {
-    kill -TERM "${pids[@]}" 2>/dev/null || true
-    for _ in $(seq 100); do
-        kill -0 "${pids[@]}" 2>/dev/null || break
-        sleep 0.1
-    done
-    kill -KILL "${pids[@]}" 2>/dev/null || true
-    wait 2>/dev/null || true
-    rm -rf "$folder"
-}
-trap finish EXIT
+source "$(dirname "$0")/processes.sh"
 
 launch() {
     "$python" -m "$@" >>"$folder/log" 2>&1 &
