--- a/rosemaryweir/platform/tests/test_store.py
+++ b/rosemaryweir/platform/tests/test_store.py
@@ -132,3 +132,27 @@
         assert not await list_own(address, 'vms')
 
     play(scenario)
+
+
+def test_a_list_of_stale_pages_is_complete_up_to_the_oldest():
+    # Pages of a stale list may be seconds apart: taken for complete up to
+    # the newest, changes on the older page would never be asked for.
+    async def scenario(store, address, listener):
+        for name in 'abcde':
+            store.put('servers', name, {'seq': 1})
+        ages = iter((0, 2, 1))
+        whole = store._list
+        oldest = store.revision - 2
+
+        def stale(exchange, kind, after):
+            newest = store.revision
+            store.revision = newest - next(ages, 0)
+            whole(exchange, kind, after)
+            store.revision = newest
+
+        store._list = stale
+        listener.follows = False
+        await until(lambda: listener.lists)
+        assert listener.known == oldest
+
+    play(scenario)
--- a/rosemaryweir/platform/tests/test_vm.py
+++ b/rosemaryweir/platform/tests/test_vm.py
@@ -208,3 +208,18 @@
             await site.task
 
     play(scenario, PORTS + 100)
+
+
+def test_a_changed_settings_file_is_taken_without_a_signal(tmp_path):
+    async def scenario(site):
+        path = tmp_path / 'node.conf'
+        path.write_text(WHOLE)
+        site.vm._path = str(path)
+        rule = site.vm.traffic.gateway.rule
+        before = rule.ratio
+        path.write_text(WHOLE.replace('ratio=0.2', 'ratio=0.4'))
+        async with asyncio.timeout(3):
+            while rule.ratio == before:
+                await asyncio.sleep(0.02)
+
+    play(scenario, PORTS + 110)
