--- a/rosemaryweir/daemons/tests/test_process.py
+++ b/rosemaryweir/daemons/tests/test_process.py
@@ -17,8 +17,10 @@
 from rosemaryweir.standin.target_group import TargetGroup
 from rosemaryweir.transport.exchange import encode_json
 from rosemaryweir.transport.fetch import HttpPool, fetch
+from rosemaryweir.transport.tests.free_ports import find_free_ports
 
-BASE_PORT = 15000
+#: Ports that the settings of one path use.
+PORT_COUNT = 64
 FAN_OUT = 6
 
 
@@ -65,11 +67,11 @@
         await self.store.stop()
 
 
-def run(scenario, start):
+def run(scenario):
     async def run_with_timeout():
         tier = Tier()
         async with asyncio.timeout(30):
-            await tier.start(start)
+            await tier.start(find_free_ports(PORT_COUNT))
             try:
                 await scenario(tier)
             finally:
@@ -101,7 +103,7 @@
             counted = sum(count for _, count in bins[name])
             assert counted >= summary['total'] > 0
 
-    run(scenario, BASE_PORT)
+    run(scenario)
 
 
 def test_the_leaf_shows_its_status_on_an_address_of_its_own():
@@ -112,7 +114,7 @@
         reply = await fetch(address, 'POST', '/v1/query', (), b'{}')
         assert reply.status == 404
 
-    run(scenario, BASE_PORT + 3000)
+    run(scenario)
 
 
 @pytest.mark.parametrize('kind', ['wrong_echo', 'cut', 'shed'])
@@ -130,7 +132,7 @@
         assert coverage['covered'] == FAN_OUT - 1
         assert all(row['shard'] != 's0' for row in answer['rows'])
 
-    run(scenario, BASE_PORT + 500 + 100 * len(kind))
+    run(scenario)
 
 
 def test_load_of_queries_and_orders_is_answered_truly():
@@ -157,7 +159,7 @@
         done = summary['outcomes'].get('order/done', 0)
         assert len(tier.group.order_runs) >= done > 0
 
-    run(scenario, BASE_PORT + 1500)
+    run(scenario)
 
 
 def test_shutdown_ends_with_code_zero_and_answers_what_is_in_flight():
@@ -174,7 +176,7 @@
         outcomes = [answer.get('outcome', answer) for answer in answers]
         assert outcomes == ['complete'] * 5
 
-    run(scenario, BASE_PORT + 2000)
+    run(scenario)
 
 
 def test_no_new_connections_once_nobody_is_told_to_come(monkeypatch):
@@ -203,12 +205,12 @@
         assert (await running)['coverage']['covered'] == FAN_OUT - 1
         assert await entry.driver.finished == 0
 
-    run(scenario, BASE_PORT + 2500)
+    run(scenario)
 
 
 @pytest.mark.parametrize('role', ['entry', 'leaf', 'agent'])
 def test_program_checks_settings_and_ends_on_sigterm(role, tmp_path):
-    settings = path_settings(start=BASE_PORT + 3000 + 100 * len(role))
+    settings = path_settings(start=find_free_ports(PORT_COUNT))
     path = tmp_path / 'settings.json'
     path.write_text(json.dumps({**settings, 'log_level': 'info'}))
     command = [sys.executable, '-m', f'rosemaryweir.daemons.{role}']
--- a/rosemaryweir/gateway/action.py
+++ b/rosemaryweir/gateway/action.py
@@ -37,6 +37,8 @@
     first_on_connection : bool
         Whether it is the first request of its connection, so that the caller
         also waited for the connection.
+    defect : str
+        What is wrong with the request; empty if nothing is.
     """
 
     exchange_id: int
@@ -48,6 +50,7 @@
     body: bytes
     time_left: float | None
     first_on_connection: bool = False
+    defect: str = ''
 
 
 class DecodedReply(NamedTuple):
@@ -133,6 +136,8 @@
         Name of the route; empty without one.
     duration : float
         Seconds since the request was received.
+    relayed : bool
+        Whether status, headers and body are a target's.
     """
 
     exchange_id: int
@@ -145,6 +150,7 @@
     reason: str = ''
     route: str = ''
     duration: float = 0.0
+    relayed: bool = False
 
 
 class LogEntry(NamedTuple):
--- a/rosemaryweir/gateway/final_response.py
+++ b/rosemaryweir/gateway/final_response.py
@@ -48,6 +48,7 @@
         reply.headers,
         reply.body,
         reason='' if reply.status < HTTP_BAD_REQUEST else 'target failed',
+        relayed=True,
     )
 
 
--- a/rosemaryweir/gateway/gateway.py
+++ b/rosemaryweir/gateway/gateway.py
@@ -167,23 +167,13 @@
             return self._take_actions()
         route = self._route_table.find(request.host, request.target)
         if route is None:
-            self._respond(
-                CallerResponse(
-                    request.exchange_id,
-                    HTTP_NOT_FOUND,
-                    reason='no route for the host and path',
-                )
-            )
-            return self._take_actions()
-        if not request.request_id:
-            reason = 'the request has no id'
-            self._respond(
-                CallerResponse(
-                    request.exchange_id, HTTP_BAD_REQUEST, reason=reason
-                )
-            )
-            return self._take_actions()
-        self._start(request, route, now)
+            reason = 'no route for the host and path'
+            self._reject(request, HTTP_NOT_FOUND, reason)
+        elif request.defect or not request.request_id:
+            reason = request.defect or 'the request has no id'
+            self._reject(request, HTTP_BAD_REQUEST, reason)
+        else:
+            self._start(request, route, now)
         return self._take_actions()
 
     def caller_disconnected(self, exchange_id: int, now: float) -> list[Action]:
@@ -299,6 +289,10 @@
             for sub_request in pending.sub_requests
             if self._is_unservable(sub_request, now)
         ]
+        if pending.deadline <= now:
+            reason = 'the deadline passes before a target can reply'
+            self._refuse(request, reason, now, pending)
+            return
         allowed = (1 - route.min_coverage) * len(pending.sub_requests)
         if len(unservable) > allowed + 1e-9 or len(unservable) == len(
             pending.sub_requests
@@ -400,6 +394,8 @@
         pending = sub_request.parent
         if pending.answered or sub_request.done:
             return
+        if outcome.kind != 'served':
+            pending.record_failed_attempt(attempt, outcome, now)
         if outcome.not_run:
             sub_request.possible_runs -= 1
             # The target may be tried again, as it did not run the request.
@@ -532,6 +528,18 @@
             reason=reason,
             route=pending.route.name if pending else '',
         )
+        self._respond_and_log(request, response)
+
+    def _reject(
+        self, request: InboundRequest, status: int, reason: str
+    ) -> None:
+        """Send and log the response to a request that can never be served."""
+        response = CallerResponse(request.exchange_id, status, reason=reason)
+        self._respond_and_log(request, response)
+
+    def _respond_and_log(
+        self, request: InboundRequest, response: CallerResponse
+    ) -> None:
         self._respond(response)
         version = self.config.version if self.config else 0
         log_entry = refusal_entry(response, request.request_id, version)
--- a/rosemaryweir/gateway/log_entries.py
+++ b/rosemaryweir/gateway/log_entries.py
@@ -4,6 +4,7 @@
 from rosemaryweir.gateway.action import CallerResponse, LogEntry
 from rosemaryweir.gateway.attempt_outcome import AttemptOutcome
 from rosemaryweir.gateway.pending_request import (
+    FailedAttempt,
     PendingRequest,
     SubRequest,
     SubRequestAttempt,
@@ -42,6 +43,7 @@
             ],
             'owed': _open_attempts(pending, now),
             'repeated': _repeated_sends(pending),
+            'failed': [_describe(failed) for failed in pending.failed_attempts],
             'reason': response.reason,
         },
     )
@@ -92,12 +94,18 @@
             'request': request_id,
             'route': response.route,
             'version': version,
+            'status': response.status,
             'reason': response.reason,
             'retry_after': response.retry_after,
         },
     )
 
 
+def _describe(failed: FailedAttempt) -> str:
+    took = round(failed.took * MS_PER_SECOND)
+    return f'{failed.target_name} {failed.kind} {took} {failed.reason}'.strip()
+
+
 def _open_attempts(pending: PendingRequest, now: float) -> list[str]:
     """Return the targets without a reply and the age of the attempt in ms."""
     found = [
--- a/rosemaryweir/gateway/pending_request.py
+++ b/rosemaryweir/gateway/pending_request.py
@@ -1,10 +1,25 @@
 """State of a request that has no response yet."""
 
+from typing import NamedTuple
+
 from rosemaryweir.gateway.action import DecodedReply, InboundRequest
+from rosemaryweir.gateway.attempt_outcome import AttemptOutcome
 from rosemaryweir.gateway.model import RouteConfig
 from rosemaryweir.gateway.route_latency import RouteLatency
 
-__all__ = ['PendingRequest', 'SubRequest', 'SubRequestAttempt']
+__all__ = ['FailedAttempt', 'PendingRequest', 'SubRequest', 'SubRequestAttempt']
+
+#: Failed attempts of a request that are kept for its log entry.
+MAX_FAILED_ATTEMPTS = 6
+
+
+class FailedAttempt(NamedTuple):
+    """An attempt without success, and how many seconds it took."""
+
+    target_name: str
+    kind: str
+    took: float
+    reason: str
 
 
 class SubRequestAttempt:
@@ -131,12 +146,15 @@
     soft_deadline : float
         Time from which a response is worth less; a query with the minimum
         coverage gets its response then.
+    failed_attempts : list of FailedAttempt
+        The first attempts that did not succeed.
     """
 
     __slots__ = (
         'answered',
         'config_version',
         'deadline',
+        'failed_attempts',
         'hedge_count',
         'latency',
         'received_at',
@@ -164,6 +182,19 @@
         self.answered = False
         self.hedge_count = 0
         self.sub_requests: list[SubRequest] = []
+        self.failed_attempts: list[FailedAttempt] = []
+
+    def record_failed_attempt(
+        self, attempt: SubRequestAttempt, outcome: AttemptOutcome, now: float
+    ) -> None:
+        """Keep an attempt that did not succeed, for the log."""
+        if len(self.failed_attempts) < MAX_FAILED_ATTEMPTS:
+            took = now - attempt.sent_at
+            self.failed_attempts.append(
+                FailedAttempt(
+                    attempt.target_name, outcome.kind, took, outcome.reason
+                ),
+            )
 
     @property
     def covered(self) -> int:
--- a/rosemaryweir/platform/caller_servers.py
+++ b/rosemaryweir/platform/caller_servers.py
@@ -1,22 +1,40 @@
 """HTTP servers for callers: requests, directory and readiness."""
 
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from itertools import count
 from urllib.parse import parse_qs, urlsplit
 
 from rosemaryweir.gateway.action import CallerResponse, InboundRequest
 from rosemaryweir.platform import protocol
 from rosemaryweir.platform.target_connections import forwardable_headers
-from rosemaryweir.transport.exchange import Exchange
+from rosemaryweir.transport.exchange import (
+    Exchange,
+    encode_json,
+    refusal_body,
+)
+from rosemaryweir.transport.framing import parse_decimal
 from rosemaryweir.transport.http_server import HttpServer
 from rosemaryweir.transport.limits import HttpLimits
 
 __all__ = ['CallerServer', 'DirectoryServer', 'make_readiness_handler']
 
 MS_PER_SECOND = 1000
+#: Characters of a malformed value that are quoted in a refusal.
+MAX_QUOTED = 40
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 HTTP_UNAVAILABLE = 503
+#: Own statuses from which on a request may have reached a target, but for 503.
+FIRST_UNCERTAIN_STATUS = 500
+#: Reasons of refusals in the product's error format, by status.
+_REASONS: Mapping[int, str] = {
+    400: 'malformed',
+    404: 'unknown',
+    502: 'failed',
+    503: 'unavailable',
+    504: 'deadline',
+}
+_JSON_HEADER = ('content-type', 'application/json')
 Header = tuple[str | bytes, str | bytes]
 
 
@@ -54,7 +72,11 @@
         exchange = self._exchanges.pop(response.exchange_id, None)
         if exchange is not None:
             headers = list(_response_headers(response))
-            exchange.reply(response.status, response.body, headers)
+            body = response.body
+            if response.reason and not response.relayed:
+                headers.append(_JSON_HEADER)
+                body = encode_json(_failure_body(response))
+            exchange.reply(response.status, body, headers)
 
     def _handle(self, exchange: Exchange) -> None:
         exchange_id = next(self._numbers)
@@ -123,7 +145,14 @@
 
 def _decode_request(exchange_id: int, exchange: Exchange) -> InboundRequest:
     request = exchange.request
-    left = request.headers.get(protocol.DEADLINE_HEADER, '')
+    left = request.headers.get(protocol.DEADLINE_HEADER)
+    left_ms = None if left is None else parse_decimal(left)
+    defect = ''
+    if left is not None and left_ms is None:
+        defect = (
+            f'{protocol.DEADLINE_HEADER}: expected a number of '
+            f'milliseconds, got {left[:MAX_QUOTED]!r}'
+        )
     return InboundRequest(
         exchange_id=exchange_id,
         request_id=request.headers.get(protocol.REQUEST_ID_HEADER, ''),
@@ -132,9 +161,20 @@
         host=request.headers.get('host', ''),
         headers=tuple(forwardable_headers(request.raw_headers)),
         body=request.body,
-        time_left=int(left) / MS_PER_SECOND if left.isdigit() else None,
+        time_left=None if left_ms is None else left_ms / MS_PER_SECOND,
         first_on_connection=exchange.writer.request_count == 1,
+        defect=defect,
+    )
+
+
+def _failure_body(response: CallerResponse) -> dict[str, str]:
+    """Return the body of a failure that is not a target's reply."""
+    status = response.status
+    body = refusal_body(_REASONS.get(status, 'failed'), response.reason)
+    may_have_run = (
+        status >= FIRST_UNCERTAIN_STATUS and status != HTTP_UNAVAILABLE
     )
+    return {**body, 'ran': 'unknown'} if may_have_run else body
 
 
 def _response_headers(response: CallerResponse) -> Iterator[Header]:
--- a/rosemaryweir/platform/control_plane.py
+++ b/rosemaryweir/platform/control_plane.py
@@ -1,6 +1,7 @@
 """Keep a VM's knowledge up to date from the store and from other VMs."""
 
 import asyncio
+import traceback
 from collections.abc import Callable, Coroutine, Mapping
 from functools import partial
 from random import Random
@@ -21,6 +22,7 @@
     list_objects,
     write_object,
 )
+from rosemaryweir.platform.supervision import run_supervised
 from rosemaryweir.presence.heartbeats import (
     PeerTable,
     VmHeartbeat,
@@ -108,7 +110,9 @@
         self._on_change = on_change
         self._relay_policy = RelayPolicy()
         self._gossip_port = GossipPort(
-            self.receive_heartbeat, partial(self._count_bytes, 'heartbeats')
+            self.receive_heartbeat,
+            partial(self._count_bytes, 'heartbeats'),
+            self._log_malformed_heartbeat,
         )
         self._relay_server = RelayServer(
             self.store_cache.answer_relay,
@@ -125,15 +129,14 @@
         await self._gossip_port.start(address)
         await self._relay_server.http.start(address)
         for kind in WATCHED_KINDS:
-            self.spawn(
-                StoreWatcher(
-                    self._settings.store_address,
-                    kind,
-                    self,
-                    self._count_store_bytes,
-                ).run(),
+            watcher = StoreWatcher(
+                self._settings.store_address,
+                kind,
+                self,
+                self._count_store_bytes,
             )
-        self.spawn(self._register())
+            self.spawn_supervised(watcher.run)
+        self.spawn_supervised(self._register)
 
     async def stop(self) -> None:
         """Stop all tasks and close all sockets."""
@@ -197,6 +200,22 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def spawn_supervised(
+        self, start: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
+        """Run a coroutine as a task; start it again if it fails."""
+        self.spawn(
+            run_supervised(start, lambda exc: self.log_error(start, exc))
+        )
+
+    def log_error(self, source: object, exc: BaseException) -> None:
+        """Log an unexpected error and the function where it occurred."""
+        name = getattr(source, '__qualname__', str(source))
+        frames = traceback.extract_tb(exc.__traceback__)
+        places = [f'{frame.name}:{frame.lineno}' for frame in frames[-3:]]
+        fields = {'source': name, 'error': repr(exc), 'at': places}
+        self._write(events.UNEXPECTED_ERROR, fields)
+
     def merge_list(
         self, kind: str, objects: list[ObjectVersion], revision: int
     ) -> None:
@@ -245,12 +264,12 @@
                 continue
             for change in found:
                 self._add_registered(change)
-            self.spawn(self._remove_stale_vms())
+            self.spawn_supervised(self._remove_stale_vms)
             return
 
     def _add_registered(self, registered: ObjectVersion) -> None:
-        content = registered.content or {}
-        if 'address' in content:
+        content = registered.content
+        if isinstance(content, Mapping) and 'address' in content:
             self.peers.add_candidates(
                 (str(content['address']),), str(content.get('domain', ''))
             )
@@ -347,6 +366,10 @@
             return
         self.peers.merge_all_states(found, _now())
 
+    def _log_malformed_heartbeat(self, source: str, size: int) -> None:
+        fields = {'input': 'heartbeat', 'from': source, 'bytes': size}
+        self._write(events.MALFORMED_INPUT, fields)
+
     def _log_cache_event(self, name: str, fields: Mapping[str, Any]) -> None:
         self._write(events.CACHE_EVENTS[name], fields)
 
--- a/rosemaryweir/platform/decode.py
+++ b/rosemaryweir/platform/decode.py
@@ -1,7 +1,8 @@
 """Decode objects of the platform's store into records of the gateway."""
 
+import re
 from collections.abc import Mapping
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -18,11 +19,17 @@
 __all__ = ['decode_configuration', 'decode_target']
 
 MS_PER_SECOND = 1000
+MAX_PORT = 65535
+_PORT = re.compile('[0-9]{1,5}')
+#: What may be part of a header or an address: others could forge headers.
+_SENDABLE = re.compile('[!-~]+')
+_NonNegative = Annotated[float, msgspec.Meta(ge=0)]
+_Count = Annotated[int, msgspec.Meta(ge=0)]
 
 
 class _TrafficSplit(msgspec.Struct):
     service: str
-    weight: float
+    weight: _NonNegative
 
 
 class _Route(msgspec.Struct):
@@ -31,34 +38,34 @@
     path_prefix: str
     #: ``safe``: may run more than once; any other value: at most once.
     route_type: str
-    timeout_ms: float
+    timeout_ms: _NonNegative
     #: Latency to aim at, not a measured one.
-    target_latency_ms: float
+    target_latency_ms: _NonNegative
     #: Limits the number of different targets for a request, not of attempts.
-    max_attempts: int = 1
+    max_attempts: _Count = 1
     priority: int = 0
     service: str = ''
     traffic_split: list[_TrafficSplit] = msgspec.field(default_factory=list)
     #: Services that each hold one shard.
     fanout_services: list[str] = msgspec.field(default_factory=list)
-    top_k: int = 0
+    top_k: _Count = 0
     #: Least coverage of a successful answer.
-    min_shard_ratio: float = 1.0
+    min_shard_ratio: _NonNegative = 1.0
 
 
 class _Service(msgspec.Struct):
     name: str
     #: Connections of all callers together to one target.
-    max_connections: int
+    max_connections: _Count
     #: 0: cold targets accept as many requests as warm ones.
-    cold_per_s: float = 0.0
+    cold_per_s: _NonNegative = 0.0
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: float
-    idle_timeout_ms: float
+    max_header_bytes: _Count
+    max_body_bytes: _Count
+    header_timeout_ms: _NonNegative
+    idle_timeout_ms: _NonNegative
 
 
 class _Config(msgspec.Struct):
@@ -123,9 +130,9 @@
         target = msgspec.convert(spec, _Target)
     except msgspec.ValidationError:
         return None
-    host, _, port = target.address.rpartition(':')
     known = target.state in {'ready', 'draining'}
-    if not (known and host and port.isdigit() and target.service):
+    sendable = _SENDABLE.fullmatch(name) and _is_address(target.address)
+    if not (known and sendable and target.service):
         return None
     return TargetEntry(
         name=name,
@@ -138,6 +145,12 @@
     )
 
 
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(':')
+    found = _PORT.fullmatch(port)
+    return bool(found and int(port) <= MAX_PORT and _SENDABLE.fullmatch(host))
+
+
 def _decode_route(route: _Route) -> RouteConfig:
     weighted_services = tuple(
         WeightedService(part.service, part.weight)
--- a/rosemaryweir/platform/events.py
+++ b/rosemaryweir/platform/events.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     'CACHE_EVENTS',
+    'MALFORMED_INPUT',
     'RELAYED',
     'RELOADED',
     'STARTED',
@@ -14,6 +15,7 @@
     'STORE_LOST',
     'STORE_REGAINED',
     'TRAFFIC',
+    'UNEXPECTED_ERROR',
     'VM_REMOVED',
 ]
 
@@ -74,6 +76,20 @@
     'Bytes exchanged since the start, by purpose and by whether the peer is '
     'in the own failure domain.',
 )
+MALFORMED_INPUT = register_event(
+    859,
+    'vm.malformed_input',
+    'warning',
+    'A message was malformed and ignored: `input` is its kind, `from` its '
+    'sender.',
+)
+UNEXPECTED_ERROR = register_event(
+    866,
+    'vm.unexpected_error',
+    'error',
+    'An unexpected error ended a request or a task (`source`); a task is '
+    'started again. It is a fault of the program: report it with the line.',
+)
 CACHE_EVENTS: Mapping[str, int] = {
     'config': register_event(
         860,
--- a/rosemaryweir/platform/gateway_driver.py
+++ b/rosemaryweir/platform/gateway_driver.py
@@ -25,12 +25,17 @@
 from rosemaryweir.telemetry.histogram import HistogramSet
 from rosemaryweir.telemetry.traffic import TrafficMeter
 from rosemaryweir.transport.limits import HttpLimits
+from rosemaryweir.transport.reply_buffers import ReplyBuffers
 
 __all__ = ['GatewayDriver']
 
 #: Limit for request bodies until a configuration sets one, in bytes.
 INITIAL_MAX_BODY_BYTES = 262_144
 MS_PER_SECOND = 1000
+MIB = 1024 * 1024
+#: Share of the VM's memory that incomplete replies may fill: what the process
+#: itself holds and its callers' requests need the rest.
+REPLY_BUFFER_SHARE = 0.2
 #: Time after the start for which this VM uses no share of the retry budget's
 #: slack, in seconds: it may not know all other VMs yet; heartbeats find them
 #: within 3 s.
@@ -58,6 +63,8 @@
     ----------
     latencies : HistogramSet
         Latency of responses by route and status.
+    reply_buffers : ReplyBuffers
+        Bytes of targets' incomplete replies.
     coverage_by_domain : dict of str to float
         Share of the shards that each failure domain holds targets of.
     """
@@ -77,6 +84,9 @@
         limits = HttpLimits(body_bytes=INITIAL_MAX_BODY_BYTES)
         own_vm = VmInfo(settings.name, settings.domain, settings.capacity)
         self.latencies = HistogramSet()
+        self.reply_buffers = ReplyBuffers(
+            int(settings.memory_mb * MIB * REPLY_BUFFER_SHARE)
+        )
         self.coverage_by_domain: dict[str, float] = {}
         self.gateway = Gateway(own_vm, policy, rng)
         self.caller_server = CallerServer(
@@ -87,6 +97,7 @@
             self._handle_reply,
             self._handle_failure,
             traffic,
+            self.reply_buffers,
         )
         self._write = write
         self._timer: asyncio.TimerHandle | None = None
--- a/rosemaryweir/platform/settings.py
+++ b/rosemaryweir/platform/settings.py
@@ -1,6 +1,8 @@
 """Read and validate the platform's settings file."""
 
+import math
 import pathlib
+import re
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any, NamedTuple
 
@@ -9,6 +11,7 @@
 __all__ = ['VmSettings', 'parse_settings', 'read_settings']
 
 MS_PER_SECOND = 1000
+_PORT = re.compile('[0-9]{1,5}')
 
 
 class VmSettings(NamedTuple):
@@ -86,11 +89,18 @@
         if value is None and default is not None:
             return kind(str(default))
         try:
-            return kind(value or '')
+            number = kind(value or '')
         except ValueError:
-            problem = f'{value!r} is not a number' if value else 'is missing'
-            self.findings.append(Finding(name, problem))
-            return kind('0')
+            number = -1
+        if 0 <= number < math.inf:
+            return number
+        problem = (
+            f'expected a non-negative number, got {value!r}'
+            if value
+            else 'is missing'
+        )
+        self.findings.append(Finding(name, problem))
+        return kind('0')
 
     def comma_list(self, name: str) -> tuple[str, ...]:
         """Return the parts of a comma-separated field."""
@@ -109,7 +119,7 @@
     fields = dict(_fields(text))
     reader = _FieldReader(fields)
     ports = reader.comma_list('internal_ports')
-    if len(ports) != 2 or not all(port.isdigit() for port in ports):
+    if len(ports) != 2 or not all(map(_PORT.fullmatch, ports)):
         problem = 'needs the first and the last port, joined by a comma'
         reader.findings.append(Finding('internal_ports', problem))
         ports = ('0', '0')
--- a/rosemaryweir/platform/store_client.py
+++ b/rosemaryweir/platform/store_client.py
@@ -289,24 +289,16 @@
             f'/objects/{quote(self._kind)}?{query}',
             WATCH_WAIT_S + WATCH_TIMEOUT_MARGIN_S,
         )
-        revision = int(content['as_of'])
-        changes: dict[str, ObjectVersion] = {}
-        for event in content['events']:
-            name, object_revision, spec = decode_object(event['object'])
-            if event['deleted']:
-                # `as_of` is a revision at which the object no longer exists;
-                # the event only has the revision of its last state.
-                changes[name] = ObjectVersion(
-                    name, max(object_revision, revision)
-                )
-            else:
-                changes[name] = ObjectVersion(
-                    name, object_revision, {} if spec is None else spec
-                )
+        with _reporting_malformed(self._connection):
+            revision = int(content['as_of'])
+            changes = [
+                _decode_event(event, revision) for event in content['events']
+            ]
+        newest = {change.name: change for change in changes}
         self._listener.merge_changes(
-            self._kind, list(changes.values()), revision
+            self._kind, list(newest.values()), revision
         )
-        if changes:
+        if newest:
             await asyncio.sleep(WATCH_PAUSE_S)
 
 
@@ -323,11 +315,43 @@
     content = await _read_json(
         connection, f'/objects/{quote(kind)}{query}', CALL_TIMEOUT_S
     )
-    changes = [
-        ObjectVersion(name, revision, {} if spec is None else spec)
-        for name, revision, spec in map(decode_object, content['items'])
-    ]
-    return _Page(changes, int(content['as_of']), bool(content['has_more']))
+    with _reporting_malformed(connection):
+        changes = [
+            ObjectVersion(name, revision, {} if spec is None else spec)
+            for name, revision, spec in map(decode_object, content['items'])
+        ]
+        return _Page(changes, int(content['as_of']), bool(content['has_more']))
+
+
+@contextmanager
+def _reporting_malformed(connection: StoreConnection) -> Iterator[None]:
+    """Turn the errors of decoding an answer into a `StoreError`.
+
+    What else an answer holds is unknown then: the kind is listed again.
+    """
+    try:
+        yield
+    except (LookupError, TypeError, ValueError) as exc:
+        connection.drop()
+        raise StoreError(0, f'malformed answer: {exc!r}') from exc
+
+
+def _decode_event(event: Mapping[str, Any], revision: int) -> ObjectVersion:
+    """Return the change that an event of a watch reports.
+
+    Parameters
+    ----------
+    event : mapping
+        The object, and whether it was deleted.
+    revision : int
+        Revision up to which the answer reports every change.
+    """
+    name, object_revision, spec = decode_object(event['object'])
+    if event['deleted']:
+        # At `revision` the object no longer exists; the event only has the
+        # revision of its last state.
+        return ObjectVersion(name, max(object_revision, revision))
+    return ObjectVersion(name, object_revision, {} if spec is None else spec)
 
 
 async def _read_json(
--- a/rosemaryweir/platform/target_connections.py
+++ b/rosemaryweir/platform/target_connections.py
@@ -12,12 +12,14 @@
 )
 from rosemaryweir.platform import protocol
 from rosemaryweir.telemetry.traffic import TrafficMeter
+from rosemaryweir.transport.framing import parse_count
 from rosemaryweir.transport.http_client import (
     Channel,
     HttpReply,
     encode_request_head,
     open_channel,
 )
+from rosemaryweir.transport.reply_buffers import ReplyBuffers
 
 __all__ = ['TargetConnections', 'forwardable_headers']
 
@@ -74,6 +76,8 @@
         reply has arrived, and when it has failed.
     traffic : TrafficMeter
         Counts the bytes exchanged.
+    buffers : ReplyBuffers
+        Limits the bytes of incomplete replies of all connections together.
     """
 
     def __init__(
@@ -82,8 +86,10 @@
         on_reply: Callable[[int, DecodedReply, bool, float | None], None],
         on_failure: Callable[[int, str], None],
         traffic: TrafficMeter,
+        buffers: ReplyBuffers,
     ) -> None:
         self.traffic = traffic
+        self._buffers = buffers
         self.on_reply = on_reply
         self.on_failure = on_failure
         self._on_open = on_open
@@ -151,7 +157,7 @@
     ) -> None:
         try:
             channel = await open_channel(
-                action.address, connection, action.timeout
+                action.address, connection, action.timeout, self._buffers
             )
         except OSError as exc:
             if self.remove(action.conn):
@@ -168,7 +174,7 @@
 def decode_reply(reply: HttpReply) -> DecodedReply:
     """Return a target's reply with its protocol headers decoded."""
     headers = reply.headers
-    cold_ms = headers.get(protocol.COLD_REMAINING_HEADER, '')
+    cold_ms = parse_count(headers.get(protocol.COLD_REMAINING_HEADER, ''))
     encoded = headers.get('content-encoding', 'identity') != 'identity'
     return DecodedReply(
         status=reply.status,
@@ -179,9 +185,7 @@
         signature='' if encoded else headers.get(protocol.SIGNATURE_HEADER, ''),
         not_run=protocol.NOT_RUN_HEADER in headers,
         misdirected=reply.status == HTTP_MISDIRECTED,
-        cold_seconds=int(cold_ms) / MS_PER_SECOND
-        if cold_ms.isdigit()
-        else None,
+        cold_seconds=None if cold_ms is None else cold_ms / MS_PER_SECOND,
     )
 
 
@@ -204,7 +208,8 @@
 def _keep_alive_timeout(reply: HttpReply) -> float | None:
     text = reply.headers.get('keep-alive', '')
     for part in text.split(','):
-        name, _, seconds = part.strip().partition('=')
-        if name == 'timeout' and seconds.isdigit():
+        name, _, value = part.strip().partition('=')
+        seconds = parse_count(value)
+        if name == 'timeout' and seconds is not None:
             return float(seconds)
     return None
--- a/rosemaryweir/platform/tests/test_control_plane.py
+++ b/rosemaryweir/platform/tests/test_control_plane.py
@@ -1,15 +1,17 @@
 """Tests of a VM's knowledge while the store fails, for one VM or for all."""
 
 import asyncio
+import zlib
 from random import Random
 
 import msgspec
+import pytest
 
 from rosemaryweir.catalog.relay import RelayAnswer
 from rosemaryweir.catalog.table import ObjectVersion
 from rosemaryweir.gateway.target_registry import TargetRegistry
 from rosemaryweir.platform import control_plane as control_module
-from rosemaryweir.platform import protocol
+from rosemaryweir.platform import events, protocol, supervision
 from rosemaryweir.platform.control_plane import ControlPlane
 from rosemaryweir.platform.settings import parse_settings
 from rosemaryweir.platform.standin.store import StandInStore
@@ -18,6 +20,9 @@
 from rosemaryweir.platform.tests.test_settings import SETTINGS_TEXT
 from rosemaryweir.presence.heartbeats import VmHeartbeat, VmState
 from rosemaryweir.telemetry.traffic import TrafficMeter
+from rosemaryweir.transport.fetch import fetch
+from rosemaryweir.transport.gossip import fetch_changes, fetch_states
+from rosemaryweir.transport.http_server import HttpServer
 
 KIND = 'servers'
 TARGET = 'i-1'
@@ -43,12 +48,16 @@
     return RelayAnswer(change.revision, False, [tuple(change)])
 
 
-def make_control_plane(store='127.0.0.1:8229'):
+def ignore_event(number, fields):
+    pass
+
+
+def make_control_plane(store='127.0.0.1:8229', write=ignore_event):
     settings = parse_settings(SETTINGS_TEXT.replace('127.0.0.1:8229', store))
     control = ControlPlane(
         settings,
         1,
-        lambda number, fields: None,
+        write,
         lambda: None,
         TargetRegistry(),
         Random(1),
@@ -178,3 +187,94 @@
         await store.http.stop()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        {'address': 'nowhere'},
+        {'address': '127.0.0.1:x'},
+        {'address': '127.0.0.1:99999'},
+        {'address': ['127.0.0.1:1']},
+        ['address'],
+        'address',
+        7,
+    ],
+)
+def test_a_malformed_object_of_another_vm_ends_no_heartbeats(content):
+    # Each heartbeat goes to some of the registered VMs: sending to this one
+    # would fail, and all others would consider this VM gone.
+    async def scenario():
+        store = StandInStore()
+        store.put(protocol.VMS_KIND, 'vm-0', content)
+        store.put(protocol.VMS_KIND, 'vm-9', {'address': '127.0.0.9:7740'})
+        control = make_control_plane(await store.http.start('127.0.0.1:0'))
+        await control._gossip_port.start('127.0.0.1:0')
+        await control._register()
+        for _ in range(20):
+            control.send_heartbeat(ready=True, leaving=False, load=0.0)
+        assert control.peers.domain_of('127.0.0.9:7740') == ''
+        assert '127.0.0.9:7740' in control.peers._candidates
+        await control.stop()
+        await store.http.stop()
+
+    asyncio.run(scenario())
+
+
+def test_a_task_that_fails_is_logged_and_started_again(monkeypatch):
+    monkeypatch.setattr(supervision, 'RESTART_PAUSE_S', 0.01)
+    entries = []
+
+    async def scenario():
+        starts = []
+        control = make_control_plane(
+            write=lambda number, fields: entries.append((number, fields))
+        )
+
+        async def fail_twice():
+            starts.append(1)
+            if len(starts) < 3:
+                raise KeyError('revision')
+
+        control.spawn_supervised(fail_twice)
+        await asyncio.gather(*control.tasks)
+        assert len(starts) == 3
+
+    asyncio.run(scenario())
+    assert [number for number, _ in entries] == [events.UNEXPECTED_ERROR] * 2
+    assert entries[0][1]['error'] == "KeyError('revision')"
+    assert entries[0][1]['source'].endswith('fail_twice')
+
+
+def test_changes_and_states_are_relayed_between_vms():
+    async def scenario():
+        control = make_control_plane()
+        control.receive_heartbeat(heartbeat(1, ()))
+        address = await control._relay_server.http.start('127.0.0.1:0')
+        answer = await fetch_changes(address, KIND, 0)
+        assert [change[0] for change in answer.changes] == [TARGET]
+        assert answer.complete_revision == 5
+        names = {state.name for state in await fetch_states(address)}
+        assert names == {'vm-1', 'vm-2'}
+        for path in ('/changes?kind=none&since=0', '/changes?kind=servers'):
+            assert (await fetch(address, 'GET', path)).status == 404
+        await control._relay_server.http.stop()
+        with pytest.raises(ConnectionError):
+            await fetch_changes(address, KIND, 0)
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize('content', [b'', b'junk', zlib.compress(b'\x93\x01')])
+def test_a_relayed_answer_that_is_malformed_changes_nothing(content):
+    async def scenario():
+        control = make_control_plane()
+        server = HttpServer(lambda exchange: exchange.reply(200, content))
+        address = await server.start('127.0.0.1:0')
+        before = control.store_cache.newest_revisions()
+        await control._fetch_changes(address, KIND, 5)
+        await control._fetch_states(address)
+        assert control.store_cache.newest_revisions() == before
+        await server.stop()
+
+    asyncio.run(scenario())
--- a/rosemaryweir/platform/tests/test_decode.py
+++ b/rosemaryweir/platform/tests/test_decode.py
@@ -58,6 +58,9 @@
         {'state': 'sleeping'},
         {'service': 7},
         {'service': ''},
+        {'address': '10.0.0.9:65536'},
+        {'address': '10.0.0.9:8²'},
+        {'address': '10.0.0.9 :80'},
         {'address': 'nowhere'},
         {'address': None},
         {'seq': '4'},
@@ -89,3 +92,15 @@
     assert not route.idempotent
     assert [share.weight for share in route.weighted_services] == [3, 1]
     assert config.limits.idle_seconds == 15
+
+
+@pytest.mark.parametrize('name', ['', 'i-ü', 'i 1', 'i\r\nx-other: 1'])
+def test_a_name_that_no_header_can_carry_is_rejected(name):
+    assert decode_target(name, TARGET) is None
+
+
+@pytest.mark.parametrize('field', ['timeout_ms', 'top_k', 'max_attempts'])
+def test_a_configuration_with_negative_numbers_is_rejected(field):
+    route = {**CONFIG['routes'][0], field: -1}
+    with pytest.raises(InvalidInput):
+        decode_configuration({**CONFIG, 'routes': [route]})
--- a/rosemaryweir/platform/tests/test_store_client.py
+++ b/rosemaryweir/platform/tests/test_store_client.py
@@ -160,3 +160,38 @@
         assert listener.last_revision == oldest
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [
+        b'[]',
+        b'{}',
+        b'{"items": [], "as_of": "soon", "has_more": false}',
+        b'{"items": [3], "as_of": 9, "has_more": false}',
+        b'{"items": [{"meta": {"name": "x"}}], "as_of": 9, "has_more": false}',
+        b'{"events": [{}], "as_of": 9}',
+        b'{"events": [{"object": [], "deleted": 1}], "as_of": 9}',
+        b'{"events": 3, "as_of": 1e400}',
+    ],
+)
+@pytest.mark.parametrize('watching', [True, False])
+def test_an_answer_that_is_malformed_ends_no_watch(answer, watching):
+    async def scenario(store, address, listener):
+        if watching:
+            await wait_until(lambda: listener.lists)
+        store._faults['unreadable'] = lambda exchange: exchange.reply(
+            200, answer
+        )
+        store.mode = 'unreadable'
+        store.put('servers', 'x', {})
+        await wait_until(lambda: listener.failures)
+        store.mode = 'good'
+        await wait_until(
+            lambda: (
+                any(change.name == 'x' for change in listener.changes)
+                or any('x' in names for names in listener.lists)
+            )
+        )
+
+    run_scenario(scenario)
--- a/rosemaryweir/platform/tests/test_vm.py
+++ b/rosemaryweir/platform/tests/test_vm.py
@@ -2,126 +2,19 @@
 
 import asyncio
 import json
-import sys
-import time
 
 import pytest
 
-from rosemaryweir.platform.settings import parse_settings
-from rosemaryweir.platform.standin.store import StandInStore
-from rosemaryweir.platform.standin.targets import (
-    StandInTarget,
-    build_registration,
-)
+from rosemaryweir.platform.standin.targets import build_registration
 from rosemaryweir.platform.tests.test_settings import SETTINGS_TEXT
-from rosemaryweir.platform.vm import VmProcess
-from rosemaryweir.telemetry.json_log import JsonLog
+from rosemaryweir.platform.tests.vm_site import (
+    REQUEST_ID,
+    SHARDS,
+    configuration,
+    run_scenario,
+)
 from rosemaryweir.transport.fetch import fetch
 
-FIRST_PORT = 19000
-SHARDS = tuple(f's{number}' for number in range(4))
-CALLER_LIMITS = {
-    'max_header_bytes': 16384,
-    'max_body_bytes': 262144,
-    'header_timeout_ms': 3000,
-    'idle_timeout_ms': 15000,
-}
-REQUEST_ID = ('x-request-id', 'abc')
-
-
-class VmSite:
-    """One VM, its store and one target per service."""
-
-    def __init__(self, first_port):
-        self.store = StandInStore()
-        self.targets = {name: StandInTarget(f'i-{name}') for name in SHARDS}
-        self.targets['orders'] = StandInTarget('i-orders')
-        self.ports = [f'127.0.0.1:{first_port + offset}' for offset in range(4)]
-        self.task = None
-
-    async def start(self):
-        address = await self.store.http.start('127.0.0.1:0')
-        front, readiness, directory, peer = self.ports
-        for name, target in self.targets.items():
-            target_address = await target.http.start('127.0.0.1:0')
-            self.store.put(
-                'servers', target.name, build_registration(name, target_address)
-            )
-        self.store.put('config', 'main', configuration())
-        text = SETTINGS_TEXT.replace('127.0.0.1:8229', address)
-        text = text.replace('127.0.0.1:8226', front)
-        text = text.replace('127.0.0.1:8227', readiness)
-        text = text.replace('127.0.0.1:8225', directory)
-        text = text.replace('7740', peer.rpartition(':')[2])
-        self.vm = VmProcess(
-            parse_settings(text),
-            'settings',
-            0,
-            JsonLog('vm', sys.stdout, time.time),
-            lambda: 0.0,
-        )
-        self.task = asyncio.create_task(self.vm.run())
-        async with asyncio.timeout(20):
-            while not self.vm.serving:
-                await asyncio.sleep(0.01)
-
-    async def stop(self):
-        self.task.cancel()
-        await self.vm.gateway_driver.caller_server.http.stop()
-        await self.vm.control_plane.stop()
-        await self.store.http.stop()
-        for target in self.targets.values():
-            await target.http.stop()
-
-    async def get(self, path, *headers, method='GET', body=b''):
-        headers = [('x-request-deadline-ms', '2000'), REQUEST_ID, *headers]
-        return await fetch(self.ports[0], method, path, headers, body)
-
-
-def configuration(version=1, **changes):
-    route = {'name': 'sweep', 'host': '127.0.0.1', 'path_prefix': '/sweep/'}
-    query = {
-        **route,
-        'route_type': 'safe',
-        'timeout_ms': 1500,
-        'target_latency_ms': 900,
-        'fanout_services': list(SHARDS),
-        'max_attempts': 2,
-        'top_k': 3,
-        'min_shard_ratio': 0.5,
-    }
-    order = {
-        'name': 'order',
-        'host': '127.0.0.1',
-        'path_prefix': '/order/',
-        'route_type': 'unsafe',
-        'timeout_ms': 1500,
-        'target_latency_ms': 500,
-        'service': 'orders',
-    }
-    services = [
-        {'name': name, 'max_connections': 30} for name in (*SHARDS, 'orders')
-    ]
-    return {
-        'version': version,
-        'routes': [query, order],
-        'services': services,
-        'limits': CALLER_LIMITS,
-        **changes,
-    }
-
-
-def run_scenario(scenario, first_port):
-    async def run():
-        site = VmSite(first_port)
-        await site.start()
-        try:
-            await scenario(site)
-        finally:
-            await site.stop()
-
-    asyncio.run(run())
-
 
 def test_a_query_is_merged_and_reports_its_coverage():
     async def scenario(site):
@@ -137,7 +30,7 @@
         assert reply.headers['x-missing-parts'] == '1'
         assert 'i-s1' not in reply.headers['x-part-stamps']
 
-    run_scenario(scenario, FIRST_PORT)
+    run_scenario(scenario)
 
 
 def test_an_order_reaches_its_target_unchanged():
@@ -160,7 +53,7 @@
         assert 'x-hop' not in request.headers
         assert int(request.headers['x-request-deadline-ms']) <= 2000
 
-    run_scenario(scenario, FIRST_PORT + 10)
+    run_scenario(scenario)
 
 
 @pytest.mark.parametrize(
@@ -176,7 +69,7 @@
         if mode != 'full':
             assert len(site.targets['orders'].requests) == 1
 
-    run_scenario(scenario, FIRST_PORT + 20 + 10 * len(mode))
+    run_scenario(scenario)
 
 
 def test_changes_of_the_store_take_effect():
@@ -201,7 +94,7 @@
         assert reply.headers['x-missing-parts'] == '1'
         assert len(site.targets['s0'].requests) == before
 
-    run_scenario(scenario, FIRST_PORT + 90)
+    run_scenario(scenario)
 
 
 def test_the_directory_names_the_vm_until_it_leaves():
@@ -221,7 +114,7 @@
         async with asyncio.timeout(20):
             await site.task
 
-    run_scenario(scenario, FIRST_PORT + 100)
+    run_scenario(scenario)
 
 
 def test_a_changed_settings_file_is_taken_without_a_signal(tmp_path):
@@ -236,4 +129,56 @@
             while rule.ratio == before:
                 await asyncio.sleep(0.02)
 
-    run_scenario(scenario, FIRST_PORT + 110)
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize('value', ['-5', '1e999', 'soon', '', '１'])
+def test_a_malformed_deadline_is_refused_with_its_reason(value):
+    async def scenario(site):
+        headers = [REQUEST_ID, ('x-request-deadline-ms', value)]
+        if value.isascii():
+            reply = await fetch(site.ports[0], 'GET', '/sweep/1', headers)
+            body = json.loads(reply.body)
+            assert reply.status == 400
+            assert (body['reason'], body['ran']) == ('malformed', 'not_run')
+            assert f'got {value!r}' in body['detail']
+        assert not any(target.requests for target in site.targets.values())
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    ('path', 'deadline', 'status', 'reason'),
+    [
+        ('/unknown/1', '2000', 404, 'unknown'),
+        ('/sweep/1', '0', 503, 'unavailable'),
+        ('/sweep/1', '3', 503, 'unavailable'),
+    ],
+)
+def test_a_refusal_says_why_and_that_nothing_ran(
+    path, deadline, status, reason
+):
+    async def scenario(site):
+        headers = [REQUEST_ID, ('x-request-deadline-ms', deadline)]
+        reply = await fetch(site.ports[0], 'GET', path, headers)
+        body = json.loads(reply.body)
+        assert reply.status == status
+        assert (body['reason'], body['ran']) == (reason, 'not_run')
+        assert body['detail']
+        assert not any(target.requests for target in site.targets.values())
+        (entry,) = site.logged('request.refused')
+        assert (entry['status'], entry['reason']) == (status, body['detail'])
+
+    run_scenario(scenario)
+
+
+def test_the_entry_of_a_failed_request_names_the_targets_tried():
+    async def scenario(site):
+        site.targets['orders'].mode = 'cut'
+        reply = await site.get('/order/7', method='POST', body=b'x')
+        assert json.loads(reply.body)['ran'] == 'unknown'
+        (entry,) = site.logged('request.failed')
+        (failed,) = entry['failed']
+        assert failed.startswith('i-orders lost ')
+
+    run_scenario(scenario)
--- a/rosemaryweir/platform/vm.py
+++ b/rosemaryweir/platform/vm.py
@@ -42,6 +42,8 @@
 FLUSH_S = 0.05
 #: Interval of the log entries that count bytes by purpose, in seconds.
 TRAFFIC_LOG_INTERVAL_S = 10.0
+#: Interval of checks whether the settings file has changed, in seconds.
+SETTINGS_CHECK_INTERVAL_S = 1.0
 HTTP_OK = 200
 METRICS_CONTENT_TYPE = 'text/plain; version=0.0.4'
 
@@ -73,6 +75,7 @@
     ) -> None:
         self._settings = settings
         self._path = path
+        self._settings_version = _file_version(path)
         self._metrics_port = metrics_port
         # Used only to spread load, never for secrets.
         rng = Random()  # noqa: S311
@@ -114,11 +117,13 @@
         loop.add_signal_handler(signal.SIGTERM, self.shutdown)
         loop.add_signal_handler(signal.SIGINT, self.shutdown)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
+        loop.set_exception_handler(self._handle_loop_error)
         await self._listen()
         self._write(events.STARTED, {'ip': self._settings.ip}, always=True)
         await self.control_plane.start()
-        self.control_plane.spawn(self._run_heartbeats())
-        self.control_plane.spawn(self._log_traffic())
+        self.control_plane.spawn_supervised(self._run_heartbeats)
+        self.control_plane.spawn_supervised(self._log_traffic)
+        self.control_plane.spawn_supervised(self._watch_settings)
         await self._stopped.wait()
         await self._close()
 
@@ -135,6 +140,7 @@
 
     def reload(self) -> None:
         """Read the settings again."""
+        self._settings_version = _file_version(self._path)
         try:
             found = read_settings(self._path)
         except InvalidInput as exc:
@@ -165,7 +171,7 @@
         caller_server.http.stop_listening()
         caller_server.http.close_idle()
         last = began + self._settings.termination_grace - EXIT_MARGIN_S
-        while len(caller_server) and loop.time() < last:
+        while caller_server.http.busy and loop.time() < last:
             await asyncio.sleep(DRAIN_POLL_S)
         self._stopped.set()
 
@@ -186,6 +192,24 @@
             self._utilization.update(_now(), self._wait_seconds())
             self.control_plane.remove_expired_targets()
 
+    async def _watch_settings(self) -> None:
+        """Read the settings again when their file changes without SIGHUP."""
+        while True:
+            await asyncio.sleep(SETTINGS_CHECK_INTERVAL_S)
+            found = _file_version(self._path)
+            if found != self._settings_version and not self._leaving:
+                self.reload()
+
+    def _handle_loop_error(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        exc = context.get('exception')
+        source = context.get('message', '')
+        if isinstance(exc, Exception):
+            self.control_plane.log_error(source, exc)
+        else:
+            loop.default_exception_handler(context)
+
     async def _log_traffic(self) -> None:
         while True:
             await asyncio.sleep(TRAFFIC_LOG_INTERVAL_S)
@@ -220,6 +244,8 @@
             gateway.counters | self._traffic.counters,
             {
                 'requests': len(gateway),
+                'reply_bytes': self.gateway_driver.reply_buffers.total,
+                'replies_cut': self.gateway_driver.reply_buffers.cut_count,
                 'load': self._utilization.utilization,
                 'vms': len(self.control_plane.peers.alive(_now())),
                 'config_version': gateway.config.version
@@ -244,6 +270,15 @@
     return os.environ.get(protocol.SETTINGS_ENV_VAR, '')
 
 
+def _file_version(path: str) -> tuple[int, int, int]:
+    """Return what changes with a file: inode, time and size; 0 without one."""
+    try:
+        found = os.stat(path)
+    except OSError:
+        return (0, 0, 0)
+    return (found.st_ino, found.st_mtime_ns, found.st_size)
+
+
 def _vm_info(state: VmState) -> VmInfo:
     return VmInfo(state.name, state.domain, state.capacity)
 
--- a/rosemaryweir/presence/heartbeats.py
+++ b/rosemaryweir/presence/heartbeats.py
@@ -5,10 +5,12 @@
 announces it in its heartbeats.
 """
 
+import re
 from collections.abc import Iterable, Sequence
+from functools import lru_cache
 from hashlib import blake2b
 from itertools import chain
-from math import log2
+from math import isfinite, log2
 from random import Random
 from typing import NamedTuple, TypeVar
 
@@ -25,6 +27,8 @@
     'VmState',
     'find_abandoned',
     'encode_heartbeat',
+    'is_address',
+    'is_valid_state',
     'silence_limit',
     'decode_heartbeat',
 ]
@@ -219,6 +223,11 @@
 Item = TypeVar('Item')
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(VmHeartbeat)
+_OCTET = '(25[0-5]|2[0-4][0-9]|1?[0-9]{1,2})'
+_ADDRESS = re.compile(rf'({_OCTET}[.]){{3}}{_OCTET}:(?P<port>[0-9]{{1,5}})')
+MAX_PORT = 65535
+#: Addresses whose check is remembered.
+MAX_KNOWN_ADDRESSES = 2048
 
 
 def encode_heartbeat(heartbeat: VmHeartbeat) -> bytes:
@@ -235,9 +244,42 @@
     True
     """
     try:
-        return _DECODER.decode(datagram)
+        heartbeat = _DECODER.decode(datagram)
     except (msgspec.MsgspecError, UnicodeDecodeError):
         return None
+    states = (heartbeat.sender, *heartbeat.peer_states)
+    return heartbeat if all(map(is_valid_state, states)) else None
+
+
+def is_valid_state(state: VmState) -> bool:
+    """Return whether messages can be sent to the addresses of a state.
+
+    A state with another address would fail each sender that it reaches.
+
+    Examples
+    --------
+    >>> state = VmState('a', 'd', '10.0.0.1:7740', '', 1, 1, True, False, 0)
+    >>> is_valid_state(state)
+    True
+    >>> is_valid_state(msgspec.structs.replace(state, address='10.0.0.1'))
+    False
+    """
+    finite = isfinite(state.load) and isfinite(state.capacity)
+    front_valid = not state.front_address or is_address(state.front_address)
+    return finite and front_valid and is_address(state.address)
+
+
+@lru_cache(MAX_KNOWN_ADDRESSES)
+def is_address(text: str) -> bool:
+    """Return whether a text is an IPv4 address and a port, ``ip:port``.
+
+    Examples
+    --------
+    >>> is_address('10.0.0.1:7740'), is_address('10.0.0.1:77400')
+    (True, False)
+    """
+    found = _ADDRESS.fullmatch(text)
+    return found is not None and int(found['port']) <= MAX_PORT
 
 
 class PeerTable:
@@ -271,14 +313,17 @@
         Parameters
         ----------
         addresses : iterable of str
-            Where they receive heartbeats, ``ip:port``.
+            Where they receive heartbeats, ``ip:port``; any other text is
+            ignored.
         domain : str
             Their failure domain; empty if unknown.
         """
         self._candidates.update(
             (address, domain)
             for address in addresses
-            if address != self.own.address and address not in self._domains
+            if address != self.own.address
+            and address not in self._domains
+            and is_address(address)
         )
 
     def domain_of(self, address: str) -> str:
--- a/rosemaryweir/telemetry/rate_limited_log.py
+++ b/rosemaryweir/telemetry/rate_limited_log.py
@@ -47,7 +47,8 @@
         """Write a line, or drop it if the descriptor accepts no data."""
         try:
             os.write(self._descriptor, text.encode())
-        except BlockingIOError:
+        except OSError:
+            # Full, or its reader has gone: the process goes on without.
             self.dropped += 1
         return len(text)
 
--- a/rosemaryweir/transport/gossip.py
+++ b/rosemaryweir/transport/gossip.py
@@ -14,8 +14,10 @@
     VmState,
     decode_heartbeat,
     encode_heartbeat,
+    is_valid_state,
 )
 from rosemaryweir.transport.exchange import Exchange
+from rosemaryweir.transport.framing import parse_count
 from rosemaryweir.transport.http_client import Channel, HttpReply, open_channel
 from rosemaryweir.transport.http_server import HttpServer
 
@@ -43,7 +45,7 @@
 _STATES_DECODER = msgspec.msgpack.Decoder(list[VmState])
 
 
-def _ignore_sent(address: str, size: int) -> None:
+def _ignore(address: str, size: int) -> None:
     """Do nothing with the size of a datagram."""
 
 
@@ -56,6 +58,9 @@
         Called with each received heartbeat.
     on_sent : callable
         Called with each recipient's address and the size of the datagram.
+    on_malformed : callable
+        Called with the sender's address and the size of each datagram that is
+        not a valid heartbeat.
 
     Attributes
     ----------
@@ -66,9 +71,11 @@
     def __init__(
         self,
         on_beat: Callable[[VmHeartbeat], None],
-        on_sent: Callable[[str, int], None] = _ignore_sent,
+        on_sent: Callable[[str, int], None] = _ignore,
+        on_malformed: Callable[[str, int], None] = _ignore,
     ) -> None:
         self.malformed = 0
+        self._on_malformed = on_malformed
         self._on_sent = on_sent
         self._on_beat = on_beat
         self._transport: asyncio.DatagramTransport | None = None
@@ -95,11 +102,12 @@
                 self._transport.sendto(datagram, (host, int(port)))
                 self._on_sent(address, len(datagram))
 
-    def datagram_received(self, data: bytes, addr: object) -> None:
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Decode a datagram and pass on its heartbeat."""
         beat = decode_heartbeat(data)
         if beat is None:
             self.malformed += 1
+            self._on_malformed(f'{addr[0]}:{addr[1]}', len(data))
         else:
             self._on_beat(beat)
 
@@ -140,9 +148,9 @@
             return
         query = parse_qs(target.query)
         kind = query.get('kind', [''])[0]
-        since = query.get('since', [''])[0]
-        valid = target.path == CHANGES_PATH and since.isdigit()
-        answer = self._changes(kind, int(since)) if valid else None
+        since = parse_count(query.get('since', [''])[0])
+        valid = target.path == CHANGES_PATH and since is not None
+        answer = self._changes(kind, since or 0) if valid else None
         if answer is None:
             exchange.refuse(HTTP_NOT_FOUND, 'unknown', exchange.request.path)
         else:
@@ -222,9 +230,10 @@
     """
     body = await _fetch(address, STATES_PATH, on_bytes)
     try:
-        return _STATES_DECODER.decode(_decompress(body))
+        states = _STATES_DECODER.decode(_decompress(body))
     except (zlib.error, msgspec.MsgspecError) as exc:
         raise ValueError(f'not a list of states: {exc}') from exc
+    return [state for state in states if is_valid_state(state)]
 
 
 async def _fetch(
--- a/rosemaryweir/transport/http_client.py
+++ b/rosemaryweir/transport/http_client.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 from typing import Any, Protocol
 
+from rosemaryweir.transport.reply_buffers import ReplyBuffers
 from rosemaryweir.transport.reply_parser import (
     HttpReply,
     MalformedReply,
@@ -46,6 +47,8 @@
     ----------
     listener : ChannelListener
         Notified of replies and of the end of the connection.
+    buffers : ReplyBuffers, optional
+        Limits the bytes of incomplete replies of all channels together.
 
     Attributes
     ----------
@@ -61,8 +64,11 @@
 
     transport: asyncio.Transport
 
-    def __init__(self, listener: ChannelListener) -> None:
+    def __init__(
+        self, listener: ChannelListener, buffers: ReplyBuffers | None = None
+    ) -> None:
         self._listener = listener
+        self._buffers = buffers
         self._parser = ReplyParser(self._stream)
         self._host = ''
         self.busy = False
@@ -102,6 +108,9 @@
             return
         if reply is not None and self.busy:
             self._deliver(reply)
+        elif self._buffers is not None and self.busy:
+            size = self._parser.buffered_bytes
+            self._buffers.hold(self, size, self._cut_reply)
 
     def send(
         self,
@@ -143,6 +152,7 @@
         """Abort the connection without notifying the listener."""
         self.open = False
         self.busy = False
+        self._release_buffers()
         self.transport.abort()
 
     def take_byte_count(self) -> int:
@@ -154,8 +164,16 @@
     def _stream(self, chunk: bytes) -> None:
         self._listener.streamed(self, chunk)
 
+    def _cut_reply(self) -> None:
+        self.fail('incomplete replies exceed the memory for them')
+
+    def _release_buffers(self) -> None:
+        if self._buffers is not None:
+            self._buffers.release(self)
+
     def _deliver(self, reply: HttpReply) -> None:
         self.busy = False
+        self._release_buffers()
         self.reusable = self._parser.reusable
         self._listener.replied(self, reply)
         if not self.reusable:
@@ -163,6 +181,7 @@
             self.fail('unasked bytes' if unsolicited else 'closed by the peer')
 
     def _report_end(self, reason: str) -> None:
+        self._release_buffers()
         if self.open:
             self.open = False
             idle = not self.busy
@@ -204,6 +223,7 @@
     address: str,
     listener: ChannelListener,
     seconds: float,
+    buffers: ReplyBuffers | None = None,
 ) -> Channel:
     """Connect to ``ip:port``.
 
@@ -216,7 +236,7 @@
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(seconds):
         _, channel = await loop.create_connection(
-            lambda: Channel(listener),
+            lambda: Channel(listener, buffers),
             host,
             int(port),
         )
--- a/rosemaryweir/transport/http_server.py
+++ b/rosemaryweir/transport/http_server.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import re
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -17,6 +18,10 @@
     encode_json,
     refusal_body,
 )
+from rosemaryweir.transport.framing import (
+    find_framing_defect,
+    find_head_defect,
+)
 from rosemaryweir.transport.limits import HttpLimits
 
 __all__ = ['HttpServer', 'ServerConnection']
@@ -27,10 +32,20 @@
 HTTP_TIMEOUT = 408
 HTTP_TOO_LARGE = 413
 HTTP_HEADERS_TOO_LARGE = 431
+HTTP_INTERNAL_ERROR = 500
 HTTP_UNAVAILABLE = 503
+HTTP_CONTINUE = 100
 #: Time for which a connection stays open after a refusal, so that the client
 #: can read it, in seconds.
 LINGER_S = 1.0
+#: Interval of interim responses to a client that has shut down its sending
+#: side, in seconds.  A client that has closed its socket resets the connection
+#: on the first, which the second write then reports.
+PROBE_INTERVAL_S = 0.1
+#: How `h11` quotes received bytes in its error messages.
+_QUOTED_BYTES = re.compile(
+    r"[:,]? ?(?:bytearray\()?b(['\"]).*\1\)?$", re.DOTALL
+)
 _TOO_LARGE_STATUSES = frozenset((HTTP_TOO_LARGE, HTTP_HEADERS_TOO_LARGE))
 
 
@@ -65,6 +80,7 @@
         self._pipelined_bytes = 0
         self._writable = True
         self._refused = False
+        self._input_ended = False
 
     @property
     def _limits(self) -> HttpLimits:
@@ -99,10 +115,19 @@
         self._receive(data)
 
     def eof_received(self) -> bool | None:
-        """Handle the end of input: an incomplete request or a disconnect."""
-        if self._exchange is None and not self._refused:
+        """Handle the end of input: an incomplete request or a disconnect.
+
+        A client may have shut down only its sending side.  It is sent interim
+        responses, which a closed socket answers with a reset.
+        """
+        self._input_ended = True
+        if self._refused:
+            return None
+        if self._exchange is None:
             self._receive(b'')
-        return None
+            return None
+        self._http.receive_data(b'')
+        return self._probe()
 
     def pause_writing(self) -> None:
         """Handle no further requests until the client reads its answers."""
@@ -123,16 +148,19 @@
         body: bytes,
     ) -> None:
         """Write a complete response and handle the next request."""
-        close_header = [('connection', 'close')] if self._server.closing else []
+        close_header = (
+            [(b'connection', b'close')] if self._server.closing else []
+        )
         head = h11.Response(
             status_code=status,
             headers=[
-                *headers,
-                ('content-length', str(len(body))),
+                *((_encode(name), _encode(text)) for name, text in headers),
+                (b'content-length', b'%d' % len(body)),
                 *close_header,
             ],
         )
         self._exchange = None
+        self._cancel_timer()
         self.transport.write(
             b''.join(
                 (
@@ -180,10 +208,15 @@
             reason = (
                 'too_large' if status in _TOO_LARGE_STATUSES else 'malformed'
             )
-            self._refuse(status, reason, str(exc))
+            self._refuse(status, reason, _QUOTED_BYTES.sub('', str(exc)))
 
     def _parse(self) -> None:
         while self._exchange is None and not self._is_closing():
+            if self._http.their_state is h11.IDLE:
+                defect = find_head_defect(self._http.trailing_data[0])
+                if defect:
+                    self._refuse(HTTP_BAD_REQUEST, 'malformed', defect)
+                    return
             event = self._http.next_event()
             if event is h11.NEED_DATA:
                 self._continue_if_expected()
@@ -206,6 +239,10 @@
     def _start_request(self, request: h11.Request) -> None:
         self._request = request
         self._body.clear()
+        defect = find_framing_defect(request)
+        if defect:
+            self._refuse(HTTP_BAD_REQUEST, 'malformed', defect)
+            return
         # h11 limits only incomplete heads; the size of a head that arrives
         # complete in one read is checked here.
         if _head_size(request) > self._limits.header_bytes:
@@ -226,14 +263,11 @@
         self._exchange = Exchange(
             _to_http_request(request, bytes(self._body)), self
         )
-        self._server.handler(self._exchange)
+        self._server.handle(self._exchange)
 
     def _continue_if_expected(self) -> None:
         if self._http.they_are_waiting_for_100_continue:
-            informational = h11.InformationalResponse(
-                status_code=100, headers=[]
-            )
-            self.transport.write(self._http.send(informational))
+            self._send_interim()
 
     def _start_next_cycle(self) -> None:
         if self._is_closing():
@@ -243,7 +277,7 @@
             return
         self.transport.resume_reading()
         self._http.start_next_cycle()
-        pipelined = self._http.trailing_data[0] != b''
+        pipelined = self._input_ended or self._http.trailing_data[0] != b''
         seconds = (
             self._limits.read_seconds
             if pipelined
@@ -267,6 +301,28 @@
         ):
             self.transport.pause_reading()
 
+    def _probe(self) -> bool:
+        """Send an interim response; return whether the connection stays open.
+
+        HTTP/1.0 has no interim responses, and a response that has begun can't
+        be preceded by one: the client then counts as disconnected.
+        """
+        can_probe = (
+            self._exchange is not None
+            and self._http.their_http_version == b'1.1'
+            and self._http.our_state is h11.SEND_RESPONSE
+        )
+        if can_probe and not self.transport.is_closing():
+            self._send_interim()
+            self._set_timer(PROBE_INTERVAL_S, self._probe)
+        return can_probe
+
+    def _send_interim(self) -> None:
+        informational = h11.InformationalResponse(
+            status_code=HTTP_CONTINUE, headers=[]
+        )
+        self.transport.write(self._http.send(informational))
+
     def _refuse_body(self) -> None:
         detail = f'request body exceeds {self._limits.body_bytes} bytes'
         self._refuse(HTTP_TOO_LARGE, 'too_large', detail)
@@ -315,7 +371,7 @@
     def _is_closing(self) -> bool:
         return self._refused or self.transport.is_closing()
 
-    def _set_timer(self, seconds: float, call: Callable[[], None]) -> None:
+    def _set_timer(self, seconds: float, call: Callable[[], object]) -> None:
         self._cancel_timer()
         loop = asyncio.get_running_loop()
         self._timer_set_at = loop.time()
@@ -368,6 +424,24 @@
         name = self._server.sockets[0].getsockname()
         return f'{name[0]}:{name[1]}'
 
+    def handle(self, exchange: Exchange) -> None:
+        """Pass a request to the handler.
+
+        A handler that fails costs its request, and is reported to the event
+        loop's exception handler; the process goes on.
+        """
+        try:
+            self.handler(exchange)
+        except Exception as exc:  # noqa: BLE001
+            asyncio.get_running_loop().call_exception_handler(
+                {
+                    'message': f'handler of {exchange.request.path} failed',
+                    'exception': exc,
+                },
+            )
+            body = {**refusal_body('internal', repr(exc)), 'ran': 'unknown'}
+            exchange.reply_json(HTTP_INTERNAL_ERROR, body)
+
     def admit(self, conn: ServerConnection) -> bool:
         """Register a new connection; return whether the limit allows it."""
         self.connections.add(conn)
@@ -383,6 +457,11 @@
             if conn.idle:
                 conn.transport.close()
 
+    @property
+    def busy(self) -> bool:
+        """Whether any connection has a pending or partly received request."""
+        return any(not conn.idle for conn in self.connections)
+
     def abort_all(self) -> None:
         """Abort every connection without an answer."""
         for conn in tuple(self.connections):
@@ -401,6 +480,11 @@
             conn.transport.close()
 
 
+def _encode(text: str | bytes) -> bytes:
+    # Bytes above 127 are opaque, and passed on as they were received.
+    return text if isinstance(text, bytes) else text.encode('latin-1')
+
+
 def _header(request: h11.Request, name: bytes) -> str:
     return next(
         (
--- a/rosemaryweir/transport/reply_parser.py
+++ b/rosemaryweir/transport/reply_parser.py
@@ -50,6 +50,8 @@
         Whether the connection may carry another request after the reply.
     unsolicited : bool
         Whether bytes arrived after the reply.
+    buffered_bytes : int
+        Bytes received of the present reply, without those streamed.
 
     Examples
     --------
@@ -68,7 +70,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._has_no_body = False
         self._status = 0
-        self._buffered_bytes = 0
+        self.buffered_bytes = 0
         self._head: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
         self._head_complete = False
@@ -79,7 +81,7 @@
         self._has_no_body = method == 'HEAD'
         self._streaming = streaming
         self._status = 0
-        self._buffered_bytes = 0
+        self.buffered_bytes = 0
         self._head = []
         self._body = []
         self._head_complete = False
@@ -93,7 +95,7 @@
         MalformedReply
             If the bytes are not a valid reply or exceed a size limit.
         """
-        self._buffered_bytes += len(data)
+        self.buffered_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (
@@ -147,7 +149,7 @@
         if self._complete:
             return
         if self._streaming and self._stream is not None:
-            self._buffered_bytes -= len(data)
+            self.buffered_bytes -= len(data)
             self._stream(data)
         else:
             self._body.append(data)
@@ -160,7 +162,7 @@
 
     def _check_size(self) -> None:
         limit = MAX_REPLY_BYTES if self._head_complete else MAX_HEAD_BYTES
-        if self._buffered_bytes > limit:
+        if self.buffered_bytes > limit:
             raise MalformedReply(f'more than {limit} bytes')
 
     def _build_reply(self) -> HttpReply:
--- a/rosemaryweir/transport/tests/test_http_server.py
+++ b/rosemaryweir/transport/tests/test_http_server.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP server with slow, oversized, malformed or cut input."""
 
 import asyncio
+import re
 
 import pytest
 
@@ -104,6 +105,153 @@
     run_with_server(scenario)
 
 
+SMUGGLED = b'GET /smuggled HTTP/1.1\r\nHost: x\r\n\r\n'
+CHUNKED = b'Transfer-Encoding: chunked\r\n'
+
+
+@pytest.mark.parametrize(
+    'sent',
+    [
+        # A reader that goes by the length and one that goes by the chunks end
+        # the request at different bytes.
+        build_get(b'/x', b'Content-Length: 5\r\n' + CHUNKED) + b'0\r\n\r\n',
+        build_get(b'/x', CHUNKED + b'Content-Length: 5\r\n') + b'0\r\n\r\n',
+        b'GET /x HTTP/1.0\r\nHost: x\r\n%b\r\n0\r\n\r\n' % CHUNKED,
+        # A reader that ends lines at CR LF only sees one long header.
+        b'GET /x HTTP/1.1\nHost: x\r\n\r\n',
+        build_get(b'/x', b'X: a\nContent-Length: 9\r\n'),
+        build_get(b'/x', b'X: a\r\n\n')[:-2],
+        # A folded line is a header of its own, or part of the one before.
+        build_get(b'/x', b'X: a\r\n Content-Length: 9\r\n'),
+        build_get(b'/x', b'X: a\r\n\tContent-Length: 9\r\n'),
+        build_get(b'/x', b'Content-Length : 0\r\n'),
+        build_get(b'/x', b'Content-Length: 0\r\nContent-Length: 9\r\n'),
+        build_get(b'/x', b'Content-Length: +0\r\n'),
+        build_get(b'/x', b'Transfer-Encoding: xchunked\r\n'),
+        build_get(b'/x', b'Host: y\r\n'),
+        build_get(b'/x', b'X: a\rb\r\n'),
+        build_get(b'/x', b'X: a\0b\r\n'),
+    ],
+)
+def test_ambiguous_framing_is_refused_and_hides_no_request(sent):
+    async def scenario(fixture, address):
+        paths = []
+        answer_path = fixture.http.handler
+        fixture.http.handler = lambda exchange: (
+            paths.append(exchange.request.path),
+            answer_path(exchange),
+        )
+        answer = await send_and_read(address, sent + SMUGGLED)
+        assert answer.split()[1] in {b'400', b'501'}
+        assert answer.count(b'HTTP/1.1') == 1
+        assert b'"ran":"not_run"' in answer
+        assert b'bytearray' not in answer
+        assert paths == []
+
+    run_with_server(scenario)
+
+
+def test_a_head_that_arrives_byte_by_byte_is_checked_as_well():
+    async def scenario(fixture, address):
+        sent = build_get(b'/x', b'X: a\r\n b\r\n')
+        parts = [bytes((byte,)) for byte in sent]
+        answer = await send_and_read(address, *parts)
+        assert answer.split()[1] == b'400'
+        parts = [
+            bytes((byte,))
+            for byte in build_get(b'/ok', b'Connection: close\r\n')
+        ]
+        answer = await send_and_read(address, *parts)
+        assert answer.split()[1] == b'200'
+
+    run_with_server(scenario)
+
+
+@pytest.mark.parametrize('pause', [0, 0.05, 0.35])
+def test_a_client_that_shuts_down_its_sending_side_gets_its_answer(pause):
+    async def scenario(fixture, address):
+        host, port = address.split(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(build_get(b'/hold'))
+        writer.write_eof()
+        while not fixture.held:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(pause)
+        assert fixture.disconnected_paths == []
+        fixture.held.pop().reply(200, b'whole')
+        answer = await reader.read()
+        interim, _, final = answer.rpartition(b'HTTP/1.1 100')
+        assert final.endswith(b'whole')
+        assert b'HTTP/1.1 200' in final
+        assert b'HTTP/1.1 200' not in interim
+        writer.close()
+
+    run_with_server(scenario)
+
+
+def test_pipelined_requests_before_the_end_of_input_are_answered():
+    async def scenario(fixture, address):
+        sent = build_get(b'/1') + build_get(b'/hold') + build_get(b'/3')
+        task = asyncio.create_task(send_and_read(address, sent, eof=True))
+        while not fixture.held:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0.02)
+        fixture.held.pop().reply(200, b'/2')
+        answer = await task
+        bodies = [
+            part.partition(b'\r\n\r\n')[2]
+            for part in re.split(rb'HTTP/1\.1 (?=\d)', answer)
+            if part.startswith(b'200')
+        ]
+        assert bodies == [b'/1', b'/2', b'/3']
+
+    run_with_server(scenario)
+
+
+def test_a_client_that_closes_is_noticed_within_half_a_second():
+    # Its target works for nobody from then on.
+    async def scenario(fixture, address):
+        host, port = address.split(':')
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(build_get(b'/hold'))
+        while not fixture.held:
+            await asyncio.sleep(0.01)
+        writer.close()
+        async with asyncio.timeout(0.5):
+            while not fixture.disconnected_paths:
+                await asyncio.sleep(0.01)
+
+    run_with_server(scenario)
+
+
+def test_a_handler_that_fails_costs_its_request_only():
+    async def scenario(fixture, address):
+        errors = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(
+            lambda _, context: errors.append(context['exception'])
+        )
+        good = fixture.http.handler
+
+        def fail(exchange):
+            raise LookupError('unexpected')
+
+        fixture.http.handler = fail
+        answer = await send_and_read(
+            address, build_get(b'/x', b'Connection: close\r\n')
+        )
+        assert answer.split()[1] == b'500'
+        assert b'"ran":"unknown"' in answer
+        assert [type(exc) for exc in errors] == [LookupError]
+        fixture.http.handler = good
+        answer = await send_and_read(
+            address, build_get(b'/x', b'Connection: close\r\n')
+        )
+        assert answer.split()[1] == b'200'
+
+    run_with_server(scenario)
+
+
 def test_chunked_body_over_the_limit_is_refused():
     async def scenario(fixture, address):
         head = build_get(b'/x', b'Transfer-Encoding: chunked\r\n')
