--- a/rosemaryweir/gateway/target_registry.py
+++ b/rosemaryweir/gateway/target_registry.py
@@ -88,25 +88,14 @@
             domain: count / len(services) for domain, count in found.items()
         }
 
-    def has_attempts(self) -> bool:
-        """Return whether a reply or a connection is awaited."""
-        return any(
-            target.in_flight or target.opening
-            for target in self._targets.values()
-        )
-
     def slow_targets(self, now: float) -> dict[str, float]:
         """Return the slowness of targets to report to other VMs.
 
-        At most `MAX_REPORTED` targets, the slowest first. What other VMs
-        reported is passed on, less the decay since: a report ends by itself.
+        At most `MAX_REPORTED` targets, the slowest first.
         """
         found = {
-            name: max(
-                target.reportable_slowness(now), target.peer_slowness(now)
-            )
+            name: target.reportable_slowness(now)
             for name, target in self._targets.items()
-            if target.remarkable
         }
         slowest = sorted(found, key=found.__getitem__, reverse=True)
         return {
--- a/rosemaryweir/gateway/target_state.py
+++ b/rosemaryweir/gateway/target_state.py
@@ -33,12 +33,6 @@
 PEER_SLOWNESS_DECAY_S = 1.5
 #: Slow replies in a row from which on the slowness is reported to other VMs.
 REPORT_SLOW_STREAK = 2
-#: Slowness to report for a failure, more than what was known before: a single
-#: one may have other causes, those of several VMs add up.
-SLOWNESS_PER_FAILURE = 4.0
-#: An attempt without a reply is reported once it is overdue for as long as a
-#: reply was allowed to take, and for at least this time, in seconds.
-MIN_SILENCE_S = 0.1
 #: Bounds of one sample of the slowness, as a multiple of the usual latency.
 SLOWNESS_BOUNDS = (0.25, 12.0)
 #: A connection that is still opening after this time shows that the target
@@ -156,8 +150,6 @@
         self.cold_limiter: ColdStartLimiter | None = None
         #: By attempt, the time when its reply is overdue.
         self._overdue_at: dict[int, float] = {}
-        #: By attempt, the time from which its target is reported as silent.
-        self._silent_at: dict[int, float] = {}
         #: By connection that is opening, the time when that began.
         self._opening_since: dict[int, float] = {}
         self._slowness = 1.0
@@ -165,8 +157,6 @@
         self._peer_slowness = 1.0
         self._peer_slowness_at = now
         self._failure_rate = 0.0
-        self._failing = 0.0
-        self._failed_at = now
         self._observed_at = now
         self._backoffs = 0
 
@@ -191,44 +181,20 @@
 
         The greater one of what this VM observed and what others reported.
         """
-        return max(self._observed_slowness(now), self.peer_slowness(now))
-
-    def peer_slowness(self, now: float) -> float:
-        """Return the slowness that other VMs reported."""
         decay = exp((self._peer_slowness_at - now) / PEER_SLOWNESS_DECAY_S)
-        return 1 + (self._peer_slowness - 1) * decay
-
-    @property
-    def remarkable(self) -> bool:
-        """Whether anything may be reported; False for most targets."""
-        return bool(
-            self._silent_at
-            or self._failing
-            or self._slow_streak
-            or self._peer_slowness > 1
-        )
+        reported = 1 + (self._peer_slowness - 1) * decay
+        return max(self._observed_slowness(now), reported)
 
     def reportable_slowness(self, now: float) -> float:
-        """Return the slowness to report to other VMs; 1 for none.
-
-        Failures and silence are reported as slowness: each VM of a large fleet
-        has few requests, and would learn of a broken target only by losing
-        one of its own.
-        """
-        most = SLOWNESS_BOUNDS[1]
-        if min(self._silent_at.values(), default=NEVER) < now:
-            return most
-        failing = self._failing_slowness(now)
+        """Return the slowness to report to other VMs; 1 for none."""
         if self._slow_streak < REPORT_SLOW_STREAK:
-            return max(1.0, failing)
-        return max(self._observed_slowness(now), failing)
+            return 1.0
+        return self._observed_slowness(now)
 
     def set_peer_slowness(self, slowness: float, now: float) -> None:
-        """Set the slowness that another VM reported, unless it is known."""
-        reported = min(slowness, SLOWNESS_BOUNDS[1])
-        if reported > self.peer_slowness(now):
-            self._peer_slowness = reported
-            self._peer_slowness_at = now
+        """Set the slowness that another VM reported."""
+        self._peer_slowness = min(max(slowness, 1.0), SLOWNESS_BOUNDS[1])
+        self._peer_slowness_at = now
 
     def failure_rate(self, now: float) -> float:
         """Return the share of replies that are failures."""
@@ -258,15 +224,10 @@
     ) -> None:
         """Add an attempt and the time when its reply is overdue."""
         self._overdue_at[attempt.number] = overdue_at
-        allowed = overdue_at - attempt.sent_at
-        self._silent_at[attempt.number] = overdue_at + max(
-            allowed, MIN_SILENCE_S
-        )
 
     def attempt_ended(self, attempt: SubRequestAttempt) -> None:
         """Remove an attempt that has an outcome or was aborted."""
         self._overdue_at.pop(attempt.number, None)
-        self._silent_at.pop(attempt.number, None)
 
     def record_success(
         self, latency: float, usual_latency: float, now: float
@@ -293,15 +254,15 @@
             else 0
         )
         self._observed_at = now
-        self._failing = 0.0
         self._backoffs = 0
 
     def record_failure(self, now: float) -> None:
         """Record a failure, or the loss of a reply."""
-        self._add_failure(now)
-        known = max(self._failing_slowness(now), self.peer_slowness(now) - 1)
-        self._failing = min(SLOWNESS_PER_FAILURE + known, SLOWNESS_BOUNDS[1])
-        self._failed_at = now
+        slowness = self._observed_slowness(now)
+        failure_rate = self.failure_rate(now)
+        self._failure_rate = failure_rate + (1 - failure_rate) * FAILURE_WEIGHT
+        self._slowness = slowness
+        self._observed_at = now
 
     def record_full(self, now: float) -> None:
         """Record that the target refused a request because it was full.
@@ -309,7 +270,7 @@
         Also counts as a failure: a target that refuses many requests while it
         has little to do is no better than one that fails them.
         """
-        self._add_failure(now)
+        self.record_failure(now)
         self.full_until = now + FULL_PENALTY_S
 
     def record_unreachable(self, now: float) -> None:
@@ -324,17 +285,6 @@
         self._backoffs += 1
         self.backoff_until = now + backoff
 
-    def _add_failure(self, now: float) -> None:
-        slowness = self._observed_slowness(now)
-        failure_rate = self.failure_rate(now)
-        self._failure_rate = failure_rate + (1 - failure_rate) * FAILURE_WEIGHT
-        self._slowness = slowness
-        self._observed_at = now
-
-    def _failing_slowness(self, now: float) -> float:
-        decay = exp((self._failed_at - now) / FAILURE_DECAY_S)
-        return self._failing * decay
-
     def _observed_slowness(self, now: float) -> float:
         return 1 + (self._slowness - 1) * self._decay(now)
 
--- a/rosemaryweir/platform/control_plane.py
+++ b/rosemaryweir/platform/control_plane.py
@@ -23,7 +23,6 @@
     write_object,
 )
 from rosemaryweir.platform.supervision import run_supervised
-from rosemaryweir.presence.alerts import ALERT_CHECK_INTERVAL_S, AlertPolicy
 from rosemaryweir.presence.heartbeats import (
     PeerTable,
     VmHeartbeat,
@@ -106,10 +105,9 @@
         self._write = write
         self._traffic = traffic
         self._count_store_bytes = partial(traffic.record, 'store', '')
+        self._slow = target_registry.slow_targets
+        self._advise = target_registry.apply_peer_slowness
         self._on_change = on_change
-        self._alert_policy = AlertPolicy()
-        self._target_check: asyncio.TimerHandle | None = None
-        self._target_registry = target_registry
         self._relay_policy = RelayPolicy()
         self._gossip_port = GossipPort(
             self.receive_heartbeat,
@@ -142,8 +140,6 @@
 
     async def stop(self) -> None:
         """Stop all tasks and close all sockets."""
-        if self._target_check is not None:
-            self._target_check.cancel()
         for task in tuple(self.tasks):
             task.cancel()
         await self._relay_server.http.stop()
@@ -159,7 +155,7 @@
             load,
             self._watched_kinds(now),
             self.store_cache.newest_revisions(),
-            self._target_registry.slow_targets(now),
+            self._slow(now),
             now,
         )
         self._gossip_port.send(heartbeat, addresses)
@@ -167,39 +163,13 @@
         if remote_addresses:
             self._gossip_port.send(remote, remote_addresses)
 
-    def watch_targets(self) -> None:
-        """Look for targets in trouble soon, until all attempts have ended."""
-        if self._target_check is None:
-            loop = asyncio.get_running_loop()
-            self._target_check = loop.call_later(
-                ALERT_CHECK_INTERVAL_S, self._check_targets
-            )
-
-    def _check_targets(self) -> None:
-        self._target_check = None
-        self._send_alert()
-        if self._target_registry.has_attempts():
-            self.watch_targets()
-
-    def _send_alert(self) -> None:
-        now = _now()
-        found = self._alert_policy.take(
-            self._target_registry.slow_targets(now), now
-        )
-        if found:
-            self._gossip_port.send(*self.peers.alert(found))
-
     def receive_heartbeat(self, heartbeat: VmHeartbeat) -> None:
         """Process a heartbeat of another VM."""
         now = _now()
         watched = self.peers.receive(heartbeat, now)
         if self.peers.should_request_states(heartbeat, now):
             self.spawn(self._fetch_states(heartbeat.sender.address))
-        if heartbeat.slow_targets:
-            self._target_registry.apply_peer_slowness(
-                heartbeat.slow_targets, now
-            )
-            self._send_alert()
+        self._advise(heartbeat.slow_targets, now)
         if protocol.TARGETS_KIND in watched:
             # The store answers a watcher.  That ends an outage also for a VM
             # that makes no calls to the store itself.
--- a/rosemaryweir/platform/gateway_driver.py
+++ b/rosemaryweir/platform/gateway_driver.py
@@ -67,8 +67,6 @@
         Bytes of targets' incomplete replies.
     coverage_by_domain : dict of str to float
         Share of the shards that each failure domain holds targets of.
-    on_send : callable
-        Called after each request to a target; does nothing at first.
     """
 
     def __init__(
@@ -90,7 +88,6 @@
             int(settings.memory_mb * MIB * REPLY_BUFFER_SHARE)
         )
         self.coverage_by_domain: dict[str, float] = {}
-        self.on_send: Callable[[], None] = _ignore_send
         self.gateway = Gateway(own_vm, policy, rng)
         self.caller_server = CallerServer(
             self._handle_request, self._handle_disconnect, limits
@@ -107,7 +104,7 @@
         self._started = _now()
         self._wakes_at = NEVER
         self._handlers: Mapping[type, Callable[[Any], None]] = {
-            SendAttempt: self._send_attempt,
+            SendAttempt: self._connections.send,
             OpenTargetConnection: self._connections.open,
             CloseTargetConnection: self._connections.close,
             CallerResponse: self._send_response,
@@ -186,10 +183,6 @@
         self._wakes_at = NEVER
         self._perform(self.gateway.wake(_now()))
 
-    def _send_attempt(self, action: SendAttempt) -> None:
-        self._connections.send(action)
-        self.on_send()
-
     def _perform(self, actions: list[Action]) -> None:
         for action in actions:
             self._handlers[type(action)](action)
@@ -211,9 +204,5 @@
         self._write(entry.number, entry.fields)
 
 
-def _ignore_send() -> None:
-    """Do nothing after a request to a target."""
-
-
 def _now() -> float:
     return asyncio.get_running_loop().time()
--- a/rosemaryweir/platform/tests/test_vm.py
+++ b/rosemaryweir/platform/tests/test_vm.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from rosemaryweir.platform import vm as vm_module
 from rosemaryweir.platform.standin.targets import build_registration
 from rosemaryweir.platform.tests.test_settings import SETTINGS_TEXT
 from rosemaryweir.platform.tests.vm_site import (
@@ -182,3 +183,48 @@
         assert failed.startswith('i-orders lost ')
 
     run_scenario(scenario)
+
+
+SWEEP = b'GET /sweep/1 HTTP/1.1\r\nHost: 127.0.0.1\r\nx-request-id: abc\r\n\r\n'
+
+
+@pytest.mark.parametrize('received', [0, 1, 30, len(SWEEP) - 1, len(SWEEP)])
+def test_a_request_that_has_begun_is_answered_in_a_planned_stop(
+    monkeypatch, received
+):
+    # Of a connection that was just accepted, nothing may have been read yet.
+    monkeypatch.setattr(vm_module, 'LEAVE_DELAY_S', 0.3)
+
+    async def scenario(site):
+        host, port = site.ports[0].split(':')
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(SWEEP[:received])
+        site.vm.shutdown()
+        await asyncio.sleep(0.5 if 0 < received < len(SWEEP) else 0)
+        writer.write(SWEEP[received:])
+        async with asyncio.timeout(20):
+            answer = await reader.read()
+            await site.task
+        assert answer.startswith(b'HTTP/1.1 200')
+        (entry,) = site.logged('vm.stopped')
+        assert entry['open'] == 0
+
+    run_scenario(scenario)
+
+
+def test_many_requests_at_a_planned_stop_are_all_answered(monkeypatch):
+    monkeypatch.setattr(vm_module, 'LEAVE_DELAY_S', 0.3)
+
+    async def scenario(site):
+        for target in site.targets.values():
+            target._work_time = 0.2
+        running = [asyncio.create_task(site.get('/sweep/1')) for _ in range(20)]
+        await asyncio.sleep(0)
+        site.vm.shutdown()
+        replies = await asyncio.gather(*running)
+        assert {reply.status for reply in replies} <= {200, 503}
+        assert any(reply.status == 200 for reply in replies)
+        async with asyncio.timeout(20):
+            await site.task
+
+    run_scenario(scenario)
--- a/rosemaryweir/platform/vm.py
+++ b/rosemaryweir/platform/vm.py
@@ -95,7 +95,6 @@
             rng,
             self._traffic,
         )
-        self.gateway_driver.on_send = self.control_plane.watch_targets
         ttl = min(DIRECTORY_TTL_S, settings.max_ttl)
         self._directory_server = DirectoryServer(self._directory_addresses, ttl)
         self._readiness_server = HttpServer(
--- a/rosemaryweir/presence/heartbeats.py
+++ b/rosemaryweir/presence/heartbeats.py
@@ -64,9 +64,6 @@
 GREETINGS_PER_HEARTBEAT = 4
 #: States of other VMs that have changed, in each heartbeat.
 NEWS_PER_HEARTBEAT = 16
-#: Recipients of an alert in the own failure domain, and in others.
-ALERT_FAN_OUT = 4
-ALERT_REMOTE_FAN_OUT = 1
 #: States of other VMs in each heartbeat if fewer have changed: loads that the
 #: directory weighs.
 STATES_PER_HEARTBEAT = 3
@@ -566,31 +563,6 @@
             for peer in self._sample(peers, COUNTERS_PER_HEARTBEAT)
         }
 
-    def alert(
-        self, slow_targets: dict[str, float]
-    ) -> tuple[VmHeartbeat, list[str]]:
-        """Return a message of targets in trouble, and its recipients.
-
-        Each VM passes on what it is told once, mostly within its failure
-        domain: all know after a few steps.
-        """
-        addresses = dict(self._domains)
-        near = [
-            address
-            for address, domain in addresses.items()
-            if domain == self.own.domain
-        ]
-        far = [
-            address
-            for address, domain in addresses.items()
-            if domain != self.own.domain
-        ]
-        chosen = (
-            *self._sample(near, ALERT_FAN_OUT),
-            *self._sample(far, ALERT_REMOTE_FAN_OUT),
-        )
-        return VmHeartbeat(self.own, {}, [], {}, slow_targets), list(chosen)
-
     def _local_recipients(self) -> list[str]:
         local = [
             address
