--- a/rosemaryweir/platform/tests/test_malformed_input.py
+++ b/rosemaryweir/platform/tests/test_malformed_input.py
@@ -138,6 +138,14 @@
     site.store.put(kind, name, content)
 
 
+fuzz = settings(
+    max_examples=8,
+    deadline=None,
+    derandomize=True,
+    # Each example starts a VM: shrinking one would take minutes.
+    phases=[Phase.explicit, Phase.generate],
+    suppress_health_check=list(HealthCheck),
+)
 REQUEST_BYTES = st.binary(max_size=60) | mutated(REQUEST)
 RELAY_BYTES = st.binary(max_size=60) | mutated(
     b'GET /changes?kind=servers&since=0 HTTP/1.1\r\nHost: x\r\n\r\n'
@@ -189,14 +197,7 @@
 def test_a_vm_serves_on_whatever_enters(door):
     send, strategy = DOORS[door]
 
-    @settings(
-        max_examples=8,
-        deadline=None,
-        derandomize=True,
-        # Each example starts a VM: shrinking one would take minutes.
-        phases=[Phase.explicit, Phase.generate],
-        suppress_health_check=list(HealthCheck),
-    )
+    @fuzz
     @given(st.lists(strategy, min_size=60, max_size=90))
     def enter(inputs):
         async def scenario(site):
@@ -253,13 +254,7 @@
 )
 
 
-@settings(
-    max_examples=8,
-    deadline=None,
-    derandomize=True,
-    phases=[Phase.explicit, Phase.generate],
-    suppress_health_check=list(HealthCheck),
-)
+@fuzz
 @given(
     st.lists(
         st.binary(max_size=60) | mutated(REPLY) | st.just(REPLY * 2),
