--- a/rosemaryweir/platform/tests/test_control_plane.py
+++ b/rosemaryweir/platform/tests/test_control_plane.py
@@ -278,3 +278,41 @@
         await server.stop()
 
     asyncio.run(scenario())
+
+
+STALE_SPEC = build_registration('desk', '127.0.0.1:80')
+
+
+@pytest.mark.parametrize(
+    'tell',
+    [
+        lambda control, now: control.merge_list(
+            KIND, [ObjectVersion(TARGET, 5, STALE_SPEC)], 7
+        ),
+        lambda control, now: control.merge_changes(
+            KIND, [ObjectVersion(TARGET, 8, STALE_SPEC)], 8
+        ),
+        lambda control, now: control.store_cache.merge_relayed(
+            KIND, RelayAnswer(7, True, [(TARGET, 5, STALE_SPEC)]), now
+        ),
+        lambda control, now: control.store_cache.merge_relayed(
+            KIND, RelayAnswer(8, False, [(TARGET, 8, STALE_SPEC)]), now
+        ),
+    ],
+)
+def test_no_older_word_brings_a_target_back_after_a_restart(tell):
+    # The first list after a start may be seconds old; others know better.
+    async def scenario():
+        control = make_control_plane()
+        assert TARGET in control.store_cache.targets
+        now = asyncio.get_running_loop().time()
+        gone = RelayAnswer(9, False, [(TARGET, 9, None)])
+        control.store_cache.merge_relayed(KIND, gone, now)
+        control.store_cache.remove_expired_targets(now + 2.1)
+        assert TARGET not in control.store_cache.targets
+        tell(control, now + 2.2)
+        control.store_cache.remove_expired_targets(now + 4.4)
+        assert TARGET not in control.store_cache.targets
+        assert control.store_cache.newest_revisions()[KIND] == 9
+
+    asyncio.run(scenario())
